--- /dev/null
+++ b/crates/cli/src/commands/document.rs
@@ -0,0 +1,119 @@
+//! Commands about documents.
+
+use ed25519_dalek::SigningKey;
+use eyre::{Result, WrapErr, eyre};
+use hyper::Method;
+use lagoonnotch::document::{parse_document, parse_hex, sign_document};
+use lagoonnotch_wire::document::DocumentAccepted;
+
+use crate::api_client::{ApiCall, ApiClient};
+use crate::command_exit::CommandExit;
+use crate::commands::output::print_problem;
+use crate::commands::work::block_on;
+use crate::commands::{CommandArguments, CommandSpec, OptionSpec};
+
+/// Administration address of an entry host unless another is given.
+const DEFAULT_ADMIN: &str = "127.0.0.1:7403";
+
+const SPEC: CommandSpec = CommandSpec {
+    usage: "document check|sign|submit FILE [OPTIONS]",
+    options: &[
+        OptionSpec {
+            name: "secret",
+            help: "file with the approver's secret key",
+            value: Some("FILE"),
+        },
+        OptionSpec {
+            name: "admin",
+            help: "administration address of an entry host (default 127.0.0.1:7403)",
+            value: Some("IP:PORT"),
+        },
+        OptionSpec {
+            name: "json",
+            help: "print JSON",
+            value: None,
+        },
+    ],
+    free: 2,
+};
+
+/// Makes a signing key from the system's random source.
+pub(crate) fn new_signing_key() -> SigningKey {
+    SigningKey::from_bytes(&rand::random())
+}
+
+/// Checks, signs or submits a document.
+pub(super) fn run(arguments: &[String]) -> CommandExit {
+    let arguments = match SPEC.parse(arguments) {
+        Ok(arguments) => arguments,
+        Err(exit) => return exit,
+    };
+    let file = arguments.free(1);
+    let result = match arguments.free(0) {
+        "check" => read(file).map(|text| check(file, &text)),
+        "sign" => read(file).and_then(|text| sign(&arguments, file, &text)),
+        "submit" => read(file).map(|text| submit(&arguments, text)),
+        other => {
+            eprintln!(
+                "lagoonnotch: there is no command document {other}\n\n{}",
+                SPEC.help()
+            );
+            return CommandExit::Usage;
+        }
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("lagoonnotch: {error:#}");
+        CommandExit::Usage
+    })
+}
+
+fn read(file: &str) -> Result<String> {
+    std::fs::read_to_string(file).wrap_err_with(|| format!("can't read {file}"))
+}
+
+fn check(file: &str, text: &str) -> CommandExit {
+    match parse_document(text) {
+        Ok(_) => {
+            println!("{file}: no finding");
+            CommandExit::Done
+        }
+        Err(findings) => {
+            eprintln!("{file}: {findings}");
+            CommandExit::Failed
+        }
+    }
+}
+
+fn sign(arguments: &CommandArguments, file: &str, text: &str) -> Result<CommandExit> {
+    if check(file, text) != CommandExit::Done {
+        return Ok(CommandExit::Failed);
+    }
+    let secret = arguments
+        .required("secret")
+        .map_err(|fault| eyre!("{fault}"))?;
+    let secret = parse_hex::<32>(read(&secret)?.trim())
+        .ok_or_else(|| eyre!("{secret} holds no secret key"))?;
+    let signed = sign_document(text, &SigningKey::from_bytes(&secret));
+    let target = format!("{file}.signed");
+    std::fs::write(&target, serde_json::to_string_pretty(&signed)?)?;
+    println!("wrote {target}");
+    Ok(CommandExit::Done)
+}
+
+fn submit(arguments: &CommandArguments, text: String) -> CommandExit {
+    let admin = arguments
+        .value("admin")
+        .unwrap_or_else(|| DEFAULT_ADMIN.to_owned());
+    let call = ApiCall::new(Method::POST, "/v1/documents").body(text);
+    let result = block_on(async { ApiClient::new(admin).call(call).await });
+    match result.and_then(|answer| answer.parse::<DocumentAccepted>()) {
+        Ok(accepted) => {
+            println!(
+                "{} is in force as revision {}",
+                accepted.document, accepted.revision
+            );
+            CommandExit::Done
+        }
+        Err(problem) => print_problem(&problem, arguments.flag("json")),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/keys.rs
@@ -0,0 +1,43 @@
+//! Keys of approvers and callers.
+
+use lagoonnotch::admission::key_digest;
+use lagoonnotch::document::hex_text;
+
+use crate::command_exit::CommandExit;
+use crate::commands::{CommandSpec, OptionSpec};
+
+const SPEC: CommandSpec = CommandSpec {
+    usage: "key new [OPTIONS]",
+    options: &[OptionSpec {
+        name: "approver",
+        help: "make a key pair for signing documents",
+        value: None,
+    }],
+    free: 1,
+};
+
+/// Makes a key.
+pub(super) fn run(arguments: &[String]) -> CommandExit {
+    let arguments = match SPEC.parse(arguments) {
+        Ok(arguments) => arguments,
+        Err(exit) => return exit,
+    };
+    if arguments.free(0) != "new" {
+        eprintln!(
+            "lagoonnotch: found key {}, expected key new\n\n{}",
+            arguments.free(0),
+            SPEC.help()
+        );
+        return CommandExit::Usage;
+    }
+    if arguments.flag("approver") {
+        let key = super::document::new_signing_key();
+        println!("secret {}", hex_text(key.as_bytes()));
+        println!("public {}", hex_text(key.verifying_key().as_bytes()));
+    } else {
+        let key = hex_text(super::document::new_signing_key().as_bytes());
+        println!("key    {key}");
+        println!("sha256 {}", key_digest(&key));
+    }
+    CommandExit::Done
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/admission/key_check.rs
@@ -0,0 +1,42 @@
+//! Keys of callers.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::document::{ApprovedConfig, hex_text};
+use crate::model::TeamName;
+use crate::problem::{ProblemCode, ProblemReport};
+
+/// Returns the digest under which a key is granted, in hexadecimal.
+#[must_use]
+pub fn key_digest(key: &str) -> String {
+    hex_text(&Sha256::digest(key.as_bytes()))
+}
+
+/// Returns the team of the key that came with a request.
+///
+/// The time of the comparison does not depend on where digests differ.
+///
+/// # Errors
+/// Fails when there is no key, or when it is not granted.
+pub fn key_team(
+    config: &ApprovedConfig,
+    authorization: Option<&str>,
+) -> Result<TeamName, ProblemReport> {
+    let key = authorization
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .map(str::trim);
+    let Some(key) = key.filter(|key| !key.is_empty()) else {
+        let detail = "the header Authorization: Bearer KEY is missing";
+        return Err(ProblemReport::not_run(ProblemCode::MissingKey, detail));
+    };
+    let digest = key_digest(key);
+    let mut team = None;
+    for grant in config.keys.values() {
+        if bool::from(grant.sha256.as_bytes().ct_eq(digest.as_bytes())) {
+            team = Some(grant.team.clone());
+        }
+    }
+    let detail = "the key is not granted, or it was withdrawn";
+    team.ok_or_else(|| ProblemReport::not_run(ProblemCode::UnknownKey, detail))
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/admission/queue_check.rs
@@ -0,0 +1,40 @@
+//! Queues that callers may submit to.
+
+use crate::document::{ApprovedConfig, WorkloadPolicy};
+use crate::model::TeamName;
+use crate::problem::{ProblemCode, ProblemReport};
+
+/// Time after which a refused caller may try again, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// Checks that a team may submit a workload now.
+///
+/// `stale_ms` is the time for which newer documents may have existed unheard of.
+///
+/// # Errors
+/// Fails when the queue is closed to the team, or when it may not go on without fresh documents.
+pub fn check_queue(
+    config: &ApprovedConfig,
+    team: &TeamName,
+    policy: &WorkloadPolicy,
+    stale_ms: Option<u64>,
+) -> Result<(), ProblemReport> {
+    let Some(queue) = config.queues.get(&policy.queue) else {
+        let detail = format!("there is no queue {}", policy.queue);
+        return Err(ProblemReport::not_run(ProblemCode::UnknownWorkload, detail));
+    };
+    if !queue.open && !queue.teams.contains(team) {
+        let detail = format!("queue {} is closed to team {team}", policy.queue);
+        return Err(ProblemReport::not_run(ProblemCode::QueueClosed, detail));
+    }
+    let allowed_ms = u64::from(queue.when_cut_off_s) * 1000;
+    if queue.open && stale_ms.is_some_and(|stale_ms| stale_ms >= allowed_ms) {
+        let detail = format!(
+            "queue {} admits nothing while newer documents may exist",
+            policy.queue
+        );
+        let report = ProblemReport::not_run(ProblemCode::ConfigStale, detail);
+        return Err(report.retry_after(RETRY_AFTER_MS));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/daemon/control.rs
@@ -0,0 +1,574 @@
+//! The control thread's actor: it alone holds and changes the control state.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lagoonnotch_wire::caller::MemberStatus;
+use lagoonnotch_wire::document::SignedDocument;
+use lagoonnotch_wire::upstream::HostEntry;
+use tokio::sync::{oneshot, watch};
+use xtra::prelude::*;
+
+use crate::daemon::effect_runner::EffectRunner;
+use crate::daemon::{CellView, HostClock, OwnerRoute, RouteTarget};
+use crate::document::{ConfigLedger, LedgerSnapshot, LoggedDocument};
+use crate::event::EventCode;
+use crate::finding::FindingList;
+use crate::metrics::HostMetrics;
+use crate::model::ShardName;
+use crate::peer::{
+    Heartbeat, HeartbeatReply, HeartbeatTarget, MemberState, MemberTable, OwnedShard,
+};
+use crate::settings::HostSettings;
+use crate::shard::{
+    CommandId, OwnershipPhase, Refusal, RefusalCode, ShardCommand, ShardEffect, ShardIdentity,
+    ShardInput, ShardMachine, ShardReply, ShardTiming,
+};
+
+/// Address of the control actor.
+pub type ControlHandle = Address<ControlActor>;
+
+/// Store writes a second that all shards together may use for their journals.
+const JOURNAL_WRITES_PER_S: u64 = 150;
+
+/// Time between two looks at silent members, in milliseconds.
+const FORGET_INTERVAL_MS: u64 = 1000;
+
+/// Time has passed.
+pub(super) struct TickMessage;
+
+/// A command for a shard that this host may own.
+pub(crate) struct CommandMessage {
+    pub shard: ShardName,
+    pub request: ShardCommand,
+    pub reply: oneshot::Sender<ShardReply>,
+}
+
+/// A result for a shard's machine.
+pub(super) struct ShardMessage {
+    pub shard: ShardName,
+    pub input: ShardInput,
+}
+
+/// A heartbeat is due.
+pub(super) struct BeatMessage;
+
+/// A heartbeat and where it goes.
+pub(super) struct OutgoingBeat {
+    pub sent_ms: u64,
+    pub heartbeat: Heartbeat,
+    pub targets: Vec<HeartbeatTarget>,
+}
+
+/// A heartbeat came in.
+pub(super) struct HeartbeatMessage(pub Heartbeat);
+
+/// A heartbeat was answered.
+pub(super) struct BeatAnswerMessage {
+    pub sent_ms: u64,
+    pub reply: HeartbeatReply,
+}
+
+/// A peer wants documents.
+pub(super) struct DocumentsWanted(pub u64);
+
+/// Documents came in from a peer.
+pub(super) struct DocumentsMessage(pub LedgerSnapshot);
+
+/// Documents were read from the store's log, which ends with them.
+pub(crate) struct LogMessage {
+    pub documents: Vec<LoggedDocument>,
+}
+
+/// A document is to be checked against the configuration in force.
+pub(crate) struct PreviewMessage(pub SignedDocument);
+
+/// What a check of a document found.
+pub(crate) enum DocumentVerdict {
+    /// The document is in force already.
+    InForce(u64),
+    /// The document can become the next of the log.
+    Next(u64),
+    /// The document has faults or conflicts.
+    Refused(FindingList),
+}
+
+/// The platform's list of upstreams came in.
+pub(super) struct HostsMessage(pub Vec<HostEntry>);
+
+/// Whether this host is the one that watches the store's log.
+pub(super) struct WatchTurn;
+
+/// What the watcher needs to know.
+pub(super) struct WatchState {
+    pub watching: bool,
+    pub revision: u64,
+}
+
+/// A graceful shutdown begins.
+pub(super) struct ShutdownMessage;
+
+/// Whether every shard is handed over.
+pub(super) struct ReleasedQuestion;
+
+/// The control state of one entry host.
+#[derive(xtra::Actor)]
+pub struct ControlActor {
+    clock: HostClock,
+    settings: Arc<HostSettings>,
+    members: MemberTable,
+    ledger: ConfigLedger,
+    /// A machine for each shard of this failure domain.
+    shards: BTreeMap<ShardName, ShardMachine>,
+    hosts: Option<Vec<HostEntry>>,
+    /// Commands without an answer.
+    commands: BTreeMap<CommandId, oneshot::Sender<ShardReply>>,
+    next_command: u64,
+    runner: EffectRunner,
+    view: watch::Sender<Arc<CellView>>,
+    metrics: Arc<HostMetrics>,
+    /// Hosts that were heard lately, for the log.
+    heard: BTreeSet<String>,
+    stale: bool,
+    next_forget_ms: u64,
+}
+
+impl ControlActor {
+    /// Makes the control state of a host that starts.
+    pub(super) fn new(
+        clock: HostClock,
+        settings: Arc<HostSettings>,
+        members: MemberTable,
+        runner: EffectRunner,
+        view: watch::Sender<Arc<CellView>>,
+        metrics: Arc<HostMetrics>,
+    ) -> Self {
+        Self {
+            clock,
+            ledger: ConfigLedger::new(settings.approvers.clone()),
+            settings,
+            members,
+            shards: BTreeMap::new(),
+            hosts: None,
+            commands: BTreeMap::new(),
+            next_command: 0,
+            runner,
+            view,
+            metrics,
+            heard: BTreeSet::new(),
+            stale: false,
+            next_forget_ms: 0,
+        }
+    }
+
+    /// Gives one input to a shard's machine and has its effects carried out.
+    fn step(&mut self, shard: &ShardName, input: ShardInput) {
+        let now_ms = self.clock.now_ms();
+        let Some(machine) = self.shards.get_mut(shard) else {
+            return;
+        };
+        for effect in machine.step(now_ms, input) {
+            self.carry_out(shard, effect);
+        }
+    }
+
+    fn carry_out(&mut self, shard: &ShardName, effect: ShardEffect) {
+        match effect {
+            ShardEffect::Reply { command, reply } => {
+                if let Some(sender) = self.commands.remove(&command) {
+                    let _ = sender.send(reply);
+                }
+            }
+            ShardEffect::Event { code, detail } => code.log(&detail),
+            ShardEffect::Store { call, request } => {
+                self.runner.call_store(shard.clone(), call, request);
+            }
+            ShardEffect::Upstream {
+                call,
+                address,
+                request,
+            } => {
+                self.runner
+                    .call_upstream(shard.clone(), call, address, request);
+            }
+        }
+    }
+
+    fn step_all(&mut self, input: &ShardInput) {
+        let shards: Vec<ShardName> = self.shards.keys().cloned().collect();
+        for shard in &shards {
+            self.step(shard, input.clone());
+        }
+    }
+
+    /// Tells every shard what is known of the other hosts.
+    fn share_peers(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let count = self.ledger.config().shards().count() as u64;
+        let shards: Vec<ShardName> = self.shards.keys().cloned().collect();
+        for shard in shards {
+            let epoch = self.shards[&shard].owned_epoch();
+            let mut view = self.members.view(now_ms, &shard, epoch);
+            view.shards = count;
+            self.step(&shard, ShardInput::Peers(view));
+        }
+    }
+
+    /// Puts a new configuration into force on this host.
+    fn config_changed(&mut self) {
+        let config = Arc::clone(self.ledger.config());
+        EventCode::DocumentInForce.log(&format!("revision {}", config.revision));
+        self.metrics.set_revision(config.revision);
+        self.members.me_mut().revision = config.revision;
+        let timing = shard_timing(config.shards().count() as u64);
+        for shard in config.domain_shards(&self.settings.domain) {
+            let identity = ShardIdentity {
+                shard: shard.clone(),
+                domain: self.settings.domain.clone(),
+                host: self.settings.host.clone(),
+                incarnation: self.members.me().incarnation,
+            };
+            self.shards
+                .entry(shard)
+                .or_insert_with(|| ShardMachine::new(identity, timing));
+        }
+        self.step_all(&ShardInput::Config(config));
+        if let Some(hosts) = self.hosts.clone() {
+            self.step_all(&ShardInput::Hosts(hosts));
+        }
+        self.publish();
+    }
+
+    /// Copies the control state for the traffic threads.
+    fn publish(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let config = Arc::clone(self.ledger.config());
+        let members =
+            std::iter::once(self.own_status()).chain(self.members.members().map(|entry| {
+                MemberStatus {
+                    host: entry.record.host.to_string(),
+                    failure_domain: entry.record.domain.to_string(),
+                    heard_ms_ago: now_ms.saturating_sub(entry.heard_ms),
+                    document_revision: entry.record.revision,
+                    ready: entry.record.state == MemberState::Live,
+                    owns: entry
+                        .record
+                        .shards
+                        .first()
+                        .map(|owned| owned.shard.to_string()),
+                }
+            }));
+        let view = CellView {
+            host: self.settings.host.clone(),
+            domain: self.settings.domain.clone(),
+            owners: self.owner_routes(),
+            stale_ms: self
+                .members
+                .stale_since_ms(now_ms)
+                .map(|since| now_ms.saturating_sub(since)),
+            ready: config.revision > 0 && self.members.me().state == MemberState::Live,
+            members: members.collect(),
+            config,
+        };
+        self.note_staleness(view.stale_ms.is_some());
+        self.view.send_replace(Arc::new(view));
+    }
+
+    fn own_status(&self) -> MemberStatus {
+        let me = self.members.me();
+        MemberStatus {
+            host: me.host.to_string(),
+            failure_domain: me.domain.to_string(),
+            heard_ms_ago: 0,
+            document_revision: me.revision,
+            ready: me.state == MemberState::Live,
+            owns: me.shards.first().map(|owned| owned.shard.to_string()),
+        }
+    }
+
+    fn owner_routes(&self) -> BTreeMap<ShardName, OwnerRoute> {
+        let mut routes: BTreeMap<ShardName, OwnerRoute> = BTreeMap::new();
+        let others = self.members.members().flat_map(|entry| {
+            let target = RouteTarget::Peer(entry.record.peer_address);
+            entry
+                .record
+                .shards
+                .iter()
+                .map(move |owned| (owned, entry.record.host.clone(), target.clone()))
+        });
+        let mine = self.members.me().shards.iter();
+        let mine = mine.map(|owned| (owned, self.settings.host.clone(), RouteTarget::Here));
+        for (owned, host, target) in others.chain(mine) {
+            let newer = routes
+                .get(&owned.shard)
+                .is_none_or(|route| route.epoch < owned.epoch);
+            if newer {
+                let summary = owned.summary.clone();
+                routes.insert(
+                    owned.shard.clone(),
+                    OwnerRoute {
+                        host,
+                        epoch: owned.epoch,
+                        target,
+                        summary,
+                    },
+                );
+            }
+        }
+        routes
+    }
+
+    fn note_staleness(&mut self, stale: bool) {
+        if stale != self.stale {
+            let code = if stale {
+                EventCode::ConfigStale
+            } else {
+                EventCode::ConfigFresh
+            };
+            code.log(&format!("host {}", self.settings.host));
+            self.stale = stale;
+        }
+    }
+
+    /// Brings this host's own record up to date with its shards.
+    fn update_own_record(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let owned: Vec<OwnedShard> = self
+            .shards
+            .iter()
+            .filter_map(|(shard, machine)| {
+                let epoch = machine.owned_epoch()?;
+                let summary = machine.summary(now_ms)?;
+                Some(OwnedShard {
+                    shard: shard.clone(),
+                    epoch,
+                    summary,
+                })
+            })
+            .collect();
+        self.metrics
+            .set_waiting(owned.iter().map(|owned| owned.summary.waiting).sum());
+        self.members.me_mut().shards = owned;
+    }
+
+    fn note_members(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let fresh = self
+            .members
+            .members()
+            .filter(|entry| self.members.is_fresh(now_ms, entry));
+        let heard: BTreeSet<String> = fresh.map(|entry| entry.record.host.to_string()).collect();
+        for host in heard.difference(&self.heard) {
+            EventCode::MemberJoined.log(host);
+        }
+        for host in self.heard.difference(&heard) {
+            EventCode::MemberSilent.log(host);
+        }
+        self.heard = heard;
+    }
+
+    /// Returns the peers that may still reach the store: those of other failure domains first.
+    fn relays(&self) -> Vec<SocketAddr> {
+        let now_ms = self.clock.now_ms();
+        let fresh = self
+            .members
+            .members()
+            .filter(|entry| self.members.is_fresh(now_ms, entry));
+        let mut relays: Vec<&crate::peer::MemberEntry> = fresh.collect();
+        relays.sort_by_key(|entry| entry.record.domain == self.settings.domain);
+        relays
+            .into_iter()
+            .map(|entry| entry.record.peer_address)
+            .collect()
+    }
+}
+
+/// Returns the times of a shard when there are that many.
+fn shard_timing(shards: u64) -> ShardTiming {
+    let mut timing = ShardTiming::default();
+    let interval_ms = shards * 1000 / JOURNAL_WRITES_PER_S;
+    timing.commit_interval_ms = timing.commit_interval_ms.max(interval_ms);
+    timing
+}
+
+impl Handler<TickMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: TickMessage, _: &mut Context<Self>) {
+        let now_ms = self.clock.now_ms();
+        if now_ms >= self.next_forget_ms {
+            self.next_forget_ms = now_ms + FORGET_INTERVAL_MS;
+            self.members.forget_silent(now_ms);
+            self.note_members();
+            self.runner.set_relays(self.relays());
+        }
+        self.share_peers();
+        self.step_all(&ShardInput::Tick);
+        self.update_own_record();
+        self.publish();
+    }
+}
+
+impl Handler<CommandMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: CommandMessage, _: &mut Context<Self>) {
+        if !self.shards.contains_key(&message.shard) {
+            let detail = format!("shard {} is not of this failure domain", message.shard);
+            let refusal = Refusal::not_run(RefusalCode::NotOwner, detail);
+            let _ = message.reply.send(ShardReply::Refused(refusal));
+            return;
+        }
+        self.next_command += 1;
+        let command = CommandId(self.next_command);
+        self.commands.insert(command, message.reply);
+        self.step(
+            &message.shard,
+            ShardInput::Command {
+                command,
+                request: message.request,
+            },
+        );
+    }
+}
+
+impl Handler<ShardMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ShardMessage, _: &mut Context<Self>) {
+        self.step(&message.shard, message.input);
+    }
+}
+
+impl Handler<BeatMessage> for ControlActor {
+    type Return = OutgoingBeat;
+
+    async fn handle(&mut self, _: BeatMessage, _: &mut Context<Self>) -> OutgoingBeat {
+        let sent_ms = self.clock.now_ms();
+        self.update_own_record();
+        let heartbeat = self.members.heartbeat(sent_ms);
+        let targets = self.members.targets(sent_ms);
+        OutgoingBeat {
+            sent_ms,
+            heartbeat,
+            targets,
+        }
+    }
+}
+
+impl Handler<HeartbeatMessage> for ControlActor {
+    type Return = HeartbeatReply;
+
+    async fn handle(&mut self, message: HeartbeatMessage, _: &mut Context<Self>) -> HeartbeatReply {
+        let now_ms = self.clock.now_ms();
+        let shards = &self.shards;
+        let may_promise =
+            |shard: &ShardName| shards.get(shard).is_some_and(ShardMachine::may_promise);
+        let reply = self.members.receive(now_ms, &message.0, may_promise);
+        if !reply.promises.is_empty() {
+            self.share_peers();
+        }
+        reply
+    }
+}
+
+impl Handler<BeatAnswerMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: BeatAnswerMessage, _: &mut Context<Self>) {
+        let now_ms = self.clock.now_ms();
+        self.members
+            .receive_reply(now_ms, message.sent_ms, &message.reply);
+    }
+}
+
+impl Handler<DocumentsWanted> for ControlActor {
+    type Return = LedgerSnapshot;
+
+    async fn handle(&mut self, message: DocumentsWanted, _: &mut Context<Self>) -> LedgerSnapshot {
+        self.ledger.since(message.0)
+    }
+}
+
+impl Handler<DocumentsMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: DocumentsMessage, _: &mut Context<Self>) {
+        if self.ledger.merge(&message.0) {
+            self.config_changed();
+        }
+    }
+}
+
+impl Handler<LogMessage> for ControlActor {
+    type Return = u64;
+
+    async fn handle(&mut self, message: LogMessage, _: &mut Context<Self>) -> u64 {
+        self.members.watched(self.clock.now_ms());
+        let snapshot = LedgerSnapshot {
+            config: None,
+            documents: message.documents,
+        };
+        if self.ledger.merge(&snapshot) {
+            self.config_changed();
+        }
+        self.ledger.config().revision
+    }
+}
+
+impl Handler<PreviewMessage> for ControlActor {
+    type Return = DocumentVerdict;
+
+    async fn handle(&mut self, message: PreviewMessage, _: &mut Context<Self>) -> DocumentVerdict {
+        if let Some(logged) = self.ledger.find(&message.0) {
+            return DocumentVerdict::InForce(logged.revision);
+        }
+        match self.ledger.preview(&message.0) {
+            Ok(config) => DocumentVerdict::Next(config.revision),
+            Err(findings) => DocumentVerdict::Refused(findings),
+        }
+    }
+}
+
+impl Handler<HostsMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: HostsMessage, _: &mut Context<Self>) {
+        self.hosts = Some(message.0.clone());
+        self.step_all(&ShardInput::Hosts(message.0));
+    }
+}
+
+impl Handler<WatchTurn> for ControlActor {
+    type Return = WatchState;
+
+    async fn handle(&mut self, _: WatchTurn, _: &mut Context<Self>) -> WatchState {
+        let now_ms = self.clock.now_ms();
+        WatchState {
+            watching: self.members.is_watcher(now_ms),
+            revision: self.ledger.config().revision,
+        }
+    }
+}
+
+impl Handler<ShutdownMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: ShutdownMessage, _: &mut Context<Self>) {
+        self.members.me_mut().state = MemberState::Leaving;
+        self.step_all(&ShardInput::Shutdown);
+        self.update_own_record();
+        self.publish();
+    }
+}
+
+impl Handler<ReleasedQuestion> for ControlActor {
+    type Return = bool;
+
+    async fn handle(&mut self, _: ReleasedQuestion, _: &mut Context<Self>) -> bool {
+        self.shards
+            .values()
+            .all(|machine| machine.phase() == OwnershipPhase::Stopped)
+    }
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/daemon/mod.rs
@@ -0,0 +1,18 @@
+//! The daemon: one control thread for state, and a runtime for traffic.
+
+mod cell_view;
+mod config_watch;
+mod control;
+mod effect_runner;
+mod gossip;
+mod host_clock;
+mod host_daemon;
+mod peer_server;
+
+pub use cell_view::{CellView, OwnerRoute, RouteTarget};
+pub(crate) use config_watch::{log_key, read_log};
+pub use control::{ControlActor, ControlHandle};
+pub(crate) use control::{DocumentVerdict, PreviewMessage};
+pub use host_clock::HostClock;
+pub use host_daemon::{HostDaemon, HostListeners};
+pub(crate) use peer_server::command_here;
--- /dev/null
+++ b/crates/lagoonnotch/src/daemon/peer_server.rs
@@ -0,0 +1,106 @@
+//! Serves the other entry hosts.
+
+use std::future::ready;
+
+use futures::StreamExt;
+use lagoonnotch_wire::store::{StoreCall, StoreReply};
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Json;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use crate::daemon::ControlHandle;
+use crate::daemon::control::{CommandMessage, DocumentsWanted, HeartbeatMessage};
+use crate::document::LedgerSnapshot;
+use crate::model::ShardName;
+use crate::peer::{Heartbeat, HeartbeatReply, PeerService, RelayFault};
+use crate::shard::{Refusal, RefusalCode, ShardCommand, ShardReply};
+use crate::store::StoreClient;
+
+/// Longest message of a peer, in bytes.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Serves one peer connection.
+#[derive(Clone)]
+pub(super) struct PeerServer {
+    pub control: ControlHandle,
+    pub store: StoreClient,
+}
+
+impl PeerServer {
+    /// Serves until the task is dropped.
+    pub async fn serve(self, listener: TcpListener) {
+        let Ok(mut incoming) = tcp::listen_on(listener, Json::default).await else {
+            return;
+        };
+        incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        while let Some(connection) = incoming.next().await {
+            let Ok(transport) = connection else {
+                continue;
+            };
+            let channel = BaseChannel::with_defaults(transport);
+            let responses = channel.execute(PeerService::serve(self.clone()));
+            tokio::spawn(responses.for_each(|response| {
+                tokio::spawn(response);
+                ready(())
+            }));
+        }
+    }
+}
+
+impl PeerService for PeerServer {
+    async fn exchange(self, _: Context, heartbeat: Heartbeat) -> HeartbeatReply {
+        match self.control.send(HeartbeatMessage(heartbeat.clone())).await {
+            Ok(reply) => reply,
+            Err(_) => HeartbeatReply {
+                heartbeat,
+                promises: Vec::new(),
+            },
+        }
+    }
+
+    async fn command(self, _: Context, shard: ShardName, request: ShardCommand) -> ShardReply {
+        command_here(&self.control, shard, request).await
+    }
+
+    async fn documents_since(self, _: Context, revision: u64) -> LedgerSnapshot {
+        let wanted = self.control.send(DocumentsWanted(revision)).await;
+        wanted.unwrap_or(LedgerSnapshot {
+            config: None,
+            documents: Vec::new(),
+        })
+    }
+
+    async fn relay(self, _: Context, call: StoreCall) -> Result<StoreReply, RelayFault> {
+        self.store
+            .call_directly(&call)
+            .await
+            .map_err(|_| RelayFault)
+    }
+}
+
+/// Carries out a command of a shard that this host may own.
+pub(crate) async fn command_here(
+    control: &ControlHandle,
+    shard: ShardName,
+    request: ShardCommand,
+) -> ShardReply {
+    let lasting = matches!(request, ShardCommand::Submit(_));
+    let (reply, answer) = oneshot::channel();
+    let sent = control
+        .send(CommandMessage {
+            shard,
+            request,
+            reply,
+        })
+        .await;
+    let stopped = "the control thread has stopped";
+    let lost = if lasting || sent.is_ok() {
+        Refusal::unknown(RefusalCode::OutcomeUnknown, stopped)
+    } else {
+        Refusal::not_run(RefusalCode::NotOwner, stopped)
+    };
+    answer.await.unwrap_or(ShardReply::Refused(lost))
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/dispatch/mod.rs
@@ -0,0 +1,7 @@
+//! Upstreams: control calls, attempts and answers.
+
+mod capability;
+mod upstream_client;
+
+pub use capability::{UPSTREAM_CAPABILITIES, UpstreamCapability};
+pub use upstream_client::{AttemptAnswer, AttemptFault, UpstreamClient};
--- /dev/null
+++ b/crates/lagoonnotch/src/dispatch/upstream_client.rs
@@ -0,0 +1,227 @@
+//! Calls to upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use lagoonnotch_wire::upstream::AttemptRef;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sha2::{Digest, Sha256};
+use tokio::time::timeout;
+
+use crate::document::hex_text;
+use crate::shard::{AttemptTicket, CallFault, UpstreamCall, UpstreamReply};
+
+/// Longest time of a control call.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The whole answer of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptAnswer {
+    /// Whether the task ran and failed.
+    pub failed: bool,
+    /// The bytes of the answer.
+    pub body: Bytes,
+}
+
+/// Why an attempt gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptFault {
+    /// The upstream refused the start, and the attempt has not run.
+    Refused,
+    /// The upstream does not know the attempt, or no longer keeps its answer.
+    Absent,
+    /// There was no whole answer; the attempt may have run.
+    Unclear,
+}
+
+/// Makes calls to upstreams.
+#[derive(Clone, Debug)]
+pub struct UpstreamClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for UpstreamClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl UpstreamClient {
+    /// Makes a client.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONTROL_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Makes a control call.
+    ///
+    /// # Errors
+    /// Fails when there is no answer; the call may have taken effect.
+    pub async fn control(
+        &self,
+        address: &str,
+        call: UpstreamCall,
+    ) -> Result<UpstreamReply, CallFault> {
+        match call {
+            UpstreamCall::Fence(call) => self
+                .post_json(address, "fence", &call)
+                .await
+                .map(UpstreamReply::Fence),
+            UpstreamCall::Renew(call) => self
+                .post_json(address, "renew", &call)
+                .await
+                .map(UpstreamReply::Renew),
+            UpstreamCall::Start(call) => self
+                .post_json(address, "start", &call)
+                .await
+                .map(UpstreamReply::Start),
+            UpstreamCall::Revoke(call) => self
+                .post_json(address, "revoke", &call)
+                .await
+                .map(UpstreamReply::Revoke),
+        }
+    }
+
+    /// Runs a quick request under its ticket and returns its whole answer.
+    ///
+    /// # Errors
+    /// Fails when there is no whole answer in time that belongs to the attempt.
+    pub async fn run(
+        &self,
+        place: &AttemptTicket,
+        body: Bytes,
+        time: Duration,
+    ) -> Result<AttemptAnswer, AttemptFault> {
+        let ticket = serde_json::to_string(&place.ticket).map_err(|_| AttemptFault::Unclear)?;
+        let request = Request::post(format!("http://{}/v1/run", place.address))
+            .header("lagoonnotch-ticket", ticket)
+            .body(Full::new(body))
+            .map_err(|_| AttemptFault::Unclear)?;
+        self.fetch(place, request, time).await
+    }
+
+    /// Fetches the answer of an attempt that has started, and waits for its end.
+    ///
+    /// # Errors
+    /// Fails when there is no whole answer in time that belongs to the attempt.
+    pub async fn answer(
+        &self,
+        place: &AttemptTicket,
+        time: Duration,
+    ) -> Result<AttemptAnswer, AttemptFault> {
+        let attempt = AttemptRef {
+            task: place.ticket.task.clone(),
+            attempt: place.ticket.attempt,
+        };
+        let body = serde_json::to_vec(&attempt).map_err(|_| AttemptFault::Unclear)?;
+        let request = Request::post(format!("http://{}/v1/answer", place.address))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| AttemptFault::Unclear)?;
+        self.fetch(place, request, time).await
+    }
+
+    async fn fetch(
+        &self,
+        place: &AttemptTicket,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<AttemptAnswer, AttemptFault> {
+        let answer = async {
+            let response = self
+                .client
+                .request(request)
+                .await
+                .map_err(|_| AttemptFault::Unclear)?;
+            match response.status() {
+                StatusCode::OK => read_answer(place, response).await,
+                StatusCode::CONFLICT => Err(AttemptFault::Refused),
+                StatusCode::NOT_FOUND => Err(AttemptFault::Absent),
+                _ => Err(AttemptFault::Unclear),
+            }
+        };
+        timeout(time, answer)
+            .await
+            .unwrap_or(Err(AttemptFault::Unclear))
+    }
+
+    async fn post_json<C: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        name: &str,
+        call: &C,
+    ) -> Result<R, CallFault> {
+        let body = serde_json::to_vec(call).map_err(|_| CallFault)?;
+        let request = Request::post(format!("http://{address}/v1/{name}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| CallFault)?;
+        let answer = async {
+            let response = self.client.request(request).await.map_err(|_| CallFault)?;
+            if response.status() != StatusCode::OK {
+                return Err(CallFault);
+            }
+            let bytes = response
+                .into_body()
+                .collect()
+                .await
+                .map_err(|_| CallFault)?
+                .to_bytes();
+            serde_json::from_slice(&bytes).map_err(|_| CallFault)
+        };
+        timeout(CONTROL_TIMEOUT, answer)
+            .await
+            .map_err(|_| CallFault)?
+    }
+}
+
+/// Reads an answer whole and checks that it belongs to the attempt.
+async fn read_answer<B>(
+    place: &AttemptTicket,
+    response: Response<B>,
+) -> Result<AttemptAnswer, AttemptFault>
+where
+    B: hyper::body::Body,
+{
+    let headers = response.headers().clone();
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(|_| AttemptFault::Unclear)?
+        .to_bytes();
+    let header = |name: &str| header_text(&headers, name);
+    let ours = header("lagoonnotch-task") == Some(place.ticket.task.as_str())
+        && header("lagoonnotch-attempt") == Some(place.ticket.attempt.to_string().as_str());
+    if !ours {
+        return Err(AttemptFault::Unclear);
+    }
+    let failed = match header("lagoonnotch-outcome") {
+        Some("completed") => false,
+        Some("failed") => true,
+        _ => return Err(AttemptFault::Absent),
+    };
+    let whole = header("lagoonnotch-length") == Some(body.len().to_string().as_str())
+        && header("lagoonnotch-digest") == Some(hex_text(&Sha256::digest(&body)).as_str());
+    if whole {
+        Ok(AttemptAnswer { failed, body })
+    } else {
+        Err(AttemptFault::Unclear)
+    }
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/finding/finding_list.rs
@@ -0,0 +1,95 @@
+//! One finding, and all findings of an input.
+
+use std::fmt;
+
+/// One fault of an input.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// Stable code of the kind of fault.
+    pub code: &'static str,
+    /// JSON pointer to the place.
+    pub place: String,
+    /// What was found there.
+    pub found: String,
+    /// What was expected there.
+    pub expected: String,
+}
+
+impl Finding {
+    /// Makes a finding.
+    #[must_use]
+    pub fn new(
+        code: &'static str,
+        place: impl Into<String>,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) -> Self {
+        Self {
+            code,
+            place: place.into(),
+            found: found.into(),
+            expected: expected.into(),
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let place = if self.place.is_empty() {
+            "/"
+        } else {
+            &self.place
+        };
+        write!(
+            formatter,
+            "{} {place}: found {}, expected {}",
+            self.code, self.found, self.expected
+        )
+    }
+}
+
+/// All findings of an input; never empty when used as an error.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FindingList {
+    /// The findings, in the order of the checks.
+    pub findings: Vec<Finding>,
+}
+
+impl FindingList {
+    /// Adds a finding.
+    pub fn push(&mut self, finding: Finding) {
+        self.findings.push(finding);
+    }
+
+    /// Tells whether there is no finding.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.findings.is_empty()
+    }
+
+    /// Returns the value if there is no finding.
+    ///
+    /// # Errors
+    /// Returns the findings otherwise.
+    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
+        if self.is_empty() {
+            Ok(value)
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl fmt::Display for FindingList {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let count = self.findings.len();
+        let noun = if count == 1 { "finding" } else { "findings" };
+        write!(formatter, "{count} {noun}")?;
+        for finding in &self.findings {
+            write!(formatter, "\n  {finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for FindingList {}
--- /dev/null
+++ b/crates/lagoonnotch/src/finding/mod.rs
@@ -0,0 +1,7 @@
+//! Findings: faults of an input, each with its place, reported together.
+
+mod finding_list;
+mod schema_check;
+
+pub use finding_list::{Finding, FindingList};
+pub use schema_check::SchemaCheck;
--- /dev/null
+++ b/crates/lagoonnotch/src/finding/schema_check.rs
@@ -0,0 +1,130 @@
+//! Checks of JSON against a schema, with every fault reported.
+
+use jsonschema::error::ValidationErrorKind;
+use jsonschema::{ValidationError, Validator};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use crate::finding::{Finding, FindingList};
+
+/// Longest quotation of a found value, in characters.
+const MAX_QUOTE_LENGTH: usize = 80;
+
+/// Checks values against one definition of a schema.
+#[derive(Debug)]
+pub struct SchemaCheck {
+    validator: Validator,
+}
+
+impl SchemaCheck {
+    /// Compiles the check of one definition.
+    ///
+    /// # Panics
+    /// Panics when the schema is malformed; the schemas are part of the program.
+    #[must_use]
+    pub fn new(schema: &str, definition: &str) -> Self {
+        let mut schema: Value = serde_json::from_str(schema).expect("schema is JSON");
+        let target = json!(format!("#/definitions/{definition}"));
+        schema["allOf"] = json!([{ "$ref": target }]);
+        let validator = jsonschema::validator_for(&schema).expect("schema is valid");
+        Self { validator }
+    }
+
+    /// Parses a text into the border type of the definition.
+    ///
+    /// # Errors
+    /// Returns every finding when the text does not match the schema.
+    pub fn parse<T: DeserializeOwned>(&self, text: &[u8]) -> Result<T, FindingList> {
+        let value: Value = serde_json::from_slice(text).map_err(|error| syntax_finding(&error))?;
+        self.check(&value).into_result(())?;
+        serde_json::from_slice(text).map_err(|error| syntax_finding(&error))
+    }
+
+    /// Returns every finding of a value.
+    #[must_use]
+    pub fn check(&self, value: &Value) -> FindingList {
+        let mut list = FindingList::default();
+        for error in self.validator.iter_errors(value) {
+            collect_findings(&error, &mut list);
+        }
+        list
+    }
+}
+
+fn syntax_finding(error: &serde_json::Error) -> FindingList {
+    let found = error.to_string();
+    FindingList {
+        findings: vec![Finding::new(
+            "json_syntax",
+            "",
+            found,
+            "well-formed JSON of this schema",
+        )],
+    }
+}
+
+/// Adds the findings of one schema error; of alternatives, those of the one that was meant.
+fn collect_findings(error: &ValidationError<'_>, list: &mut FindingList) {
+    if let ValidationErrorKind::OneOfNotValid { context } = error.kind()
+        && let Some(branch) = meant_branch(context)
+    {
+        for inner in branch {
+            collect_findings(inner, list);
+        }
+        return;
+    }
+    list.push(schema_finding(error));
+}
+
+/// Returns the errors of the alternative whose tag matches.
+fn meant_branch<'a>(
+    context: &'a [Vec<ValidationError<'static>>],
+) -> Option<&'a Vec<ValidationError<'static>>> {
+    context.iter().find(|branch| {
+        branch
+            .iter()
+            .all(|error| !error.instance_path().as_str().ends_with("/kind"))
+    })
+}
+
+fn schema_finding(error: &ValidationError<'_>) -> Finding {
+    let place = error.instance_path().as_str().to_owned();
+    let found = quote(error.instance());
+    let finding =
+        |code, expected: String| Finding::new(code, place.clone(), found.clone(), expected);
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => {
+            let names = unexpected.join(", ");
+            Finding::new(
+                "unknown_member",
+                place,
+                format!("unknown member {names}"),
+                "only known members",
+            )
+        }
+        ValidationErrorKind::Required { property } => Finding::new(
+            "missing_member",
+            place,
+            "no such member",
+            format!("member {property}"),
+        ),
+        ValidationErrorKind::Type { .. } => finding("wrong_type", error.to_string()),
+        ValidationErrorKind::Minimum { limit } => finding("too_small", format!("at least {limit}")),
+        ValidationErrorKind::Maximum { limit } => finding("too_large", format!("at most {limit}")),
+        ValidationErrorKind::Pattern { pattern } => {
+            finding("wrong_form", format!("text of the form {pattern}"))
+        }
+        ValidationErrorKind::Enum { options } => {
+            finding("unknown_choice", format!("one of {options}"))
+        }
+        _ => finding("wrong_value", error.to_string()),
+    }
+}
+
+fn quote(value: &Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(MAX_QUOTE_LENGTH) {
+        Some((end, _)) => format!("{}…", &text[..end]),
+        None => text,
+    }
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/journal/keys.rs
@@ -0,0 +1,67 @@
+//! Names of the store's keys for one shard.
+
+use crate::model::ShardName;
+
+/// Makes the names of the store's keys for one shard.
+#[derive(Clone, Debug)]
+pub struct ShardKeys {
+    prefix: String,
+}
+
+impl ShardKeys {
+    /// Makes the names for a shard.
+    #[must_use]
+    pub fn new(shard: &ShardName) -> Self {
+        Self {
+            prefix: format!("shards/{shard}"),
+        }
+    }
+
+    /// Returns the key that the owner holds under its lease.
+    #[must_use]
+    pub fn owner(&self) -> String {
+        format!("{}/owner", self.prefix)
+    }
+
+    /// Returns the key of the newest epoch.
+    #[must_use]
+    pub fn epoch(&self) -> String {
+        format!("{}/epoch", self.prefix)
+    }
+
+    /// Returns the prefix of all journal segments.
+    #[must_use]
+    pub fn journal(&self) -> String {
+        format!("{}/journal/", self.prefix)
+    }
+
+    /// Returns the key of one journal segment.
+    #[must_use]
+    pub fn segment(&self, number: u64) -> String {
+        format!("{}{number:020}", self.journal())
+    }
+
+    /// Returns the key that names the newest snapshot.
+    #[must_use]
+    pub fn snapshot_head(&self) -> String {
+        format!("{}/snapshot-head", self.prefix)
+    }
+
+    /// Returns the prefix of the parts of a snapshot.
+    #[must_use]
+    pub fn snapshot_parts(&self, through: u64) -> String {
+        format!("{}/snapshot/{through:020}/", self.prefix)
+    }
+
+    /// Returns the key of one part of a snapshot.
+    #[must_use]
+    pub fn snapshot_part(&self, through: u64, part: usize) -> String {
+        format!("{}{part:04}", self.snapshot_parts(through))
+    }
+}
+
+/// Returns the number of a journal segment from its key.
+#[must_use]
+pub fn segment_number(key: &str) -> Option<u64> {
+    key.rsplit('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/model/identity.rs
@@ -0,0 +1,90 @@
+//! Identifiers of works, tasks and attempts.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::names::shared_name;
+use crate::model::ShardName;
+
+/// Separates the home from the rest of a work's identifier.
+const HOME_SEPARATOR: char = '~';
+
+/// Number of bits of an attempt number that count within an epoch.
+const ATTEMPT_BITS: u32 = 24;
+
+shared_name! {
+    /// Identifier of a work: a quick request or a job.
+    ///
+    /// An identifier that the system issues is `HOME~REST`, where `HOME` names the home shard.
+    WorkId
+}
+
+impl WorkId {
+    /// Makes an identifier whose home is the given shard.
+    #[must_use]
+    pub fn homed(home: &ShardName, rest: &str) -> Self {
+        Self::from(format!("{home}{HOME_SEPARATOR}{rest}"))
+    }
+
+    /// Returns the name of the home shard, if the identifier carries one.
+    #[must_use]
+    pub fn home(&self) -> Option<ShardName> {
+        self.as_str()
+            .split_once(HOME_SEPARATOR)
+            .map(|(home, _)| ShardName::from(home))
+    }
+
+    /// Returns the part behind the home.
+    #[must_use]
+    pub fn rest(&self) -> &str {
+        self.as_str()
+            .split_once(HOME_SEPARATOR)
+            .map_or(self.as_str(), |(_, rest)| rest)
+    }
+}
+
+/// Identifier of one task of a work.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TaskId {
+    /// The work that the task belongs to.
+    pub work: WorkId,
+    /// Position of the task in its work, from 0.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Parses `WORK/INDEX`.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let (work, index) = text.rsplit_once('/')?;
+        let index = index.parse().ok()?;
+        Some(Self {
+            work: WorkId::from(work),
+            index,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.work, self.index)
+    }
+}
+
+/// Identifier of one attempt to run a task.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct AttemptId {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the attempt; unique over all epochs of a shard.
+    pub number: u64,
+}
+
+impl AttemptId {
+    /// Makes the number of the n-th attempt that an owner of the given epoch starts.
+    #[must_use]
+    pub fn number(epoch: u64, count: u64) -> u64 {
+        (epoch << ATTEMPT_BITS) | count
+    }
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/model/mod.rs
@@ -0,0 +1,9 @@
+//! Names, sizes and identifiers that every module shares.
+
+mod identity;
+mod names;
+mod resource;
+
+pub use identity::{AttemptId, TaskId, WorkId};
+pub use names::{DomainName, HostName, ShardName, TeamName, UpstreamName, WorkloadName};
+pub use resource::ResourceSize;
--- /dev/null
+++ b/crates/lagoonnotch/src/model/names.rs
@@ -0,0 +1,71 @@
+//! Names as shared immutable strings.
+
+macro_rules! shared_name {
+    ($(#[$note:meta])* $name:ident) => {
+        $(#[$note])*
+        #[derive(
+            Clone, Debug, ::serde::Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, ::serde::Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(::std::sync::Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl ::std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl ::std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(::std::sync::Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(::std::sync::Arc::from(text))
+            }
+        }
+    };
+}
+
+pub(crate) use shared_name;
+
+shared_name! {
+    /// Name of a failure domain.
+    DomainName
+}
+shared_name! {
+    /// Name of an entry host.
+    HostName
+}
+shared_name! {
+    /// Name of a shard: a set of upstreams in one failure domain.
+    ShardName
+}
+shared_name! {
+    /// Name of a team.
+    TeamName
+}
+shared_name! {
+    /// Name of an upstream.
+    UpstreamName
+}
+shared_name! {
+    /// Name of a workload policy.
+    WorkloadName
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/model/resource.rs
@@ -0,0 +1,165 @@
+//! Amounts of resources.
+
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+use lagoonnotch_wire::{caller, document, upstream};
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource that is scheduled.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ResourceSize {
+    /// Processor time, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory, in mebibytes.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl ResourceSize {
+    /// Nothing of any resource.
+    pub const ZERO: Self = Self {
+        cpu_milli: 0,
+        memory_mib: 0,
+        accelerators: 0,
+    };
+
+    /// Makes an amount from thousandths of a core, mebibytes and accelerators.
+    #[must_use]
+    pub const fn new(cpu_milli: u64, memory_mib: u64, accelerators: u64) -> Self {
+        Self {
+            cpu_milli,
+            memory_mib,
+            accelerators,
+        }
+    }
+
+    /// Tells whether this amount fits into the other in every resource.
+    #[must_use]
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the difference, with 0 where the other amount is larger.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        self.zip(other, u64::saturating_sub)
+    }
+
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        self.zip(other, u64::min)
+    }
+
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        self.zip(other, u64::max)
+    }
+
+    /// Returns the amount times a whole number.
+    #[must_use]
+    pub fn times(&self, factor: u64) -> Self {
+        self.map(|amount| amount.saturating_mul(factor))
+    }
+
+    /// Returns the amount divided by a whole number, rounded down.
+    #[must_use]
+    pub fn divided(&self, divisor: u64) -> Self {
+        self.map(|amount| amount / divisor.max(1))
+    }
+
+    /// Returns the largest part that this amount is of a total, in any resource.
+    #[must_use]
+    pub fn dominant_share(&self, total: &Self) -> f64 {
+        let cpu = part(self.cpu_milli, total.cpu_milli);
+        let memory = part(self.memory_mib, total.memory_mib);
+        let accelerators = part(self.accelerators, total.accelerators);
+        cpu.max(memory).max(accelerators)
+    }
+
+    fn zip(&self, other: &Self, combine: impl Fn(u64, u64) -> u64) -> Self {
+        Self {
+            cpu_milli: combine(self.cpu_milli, other.cpu_milli),
+            memory_mib: combine(self.memory_mib, other.memory_mib),
+            accelerators: combine(self.accelerators, other.accelerators),
+        }
+    }
+
+    fn map(&self, change: impl Fn(u64) -> u64) -> Self {
+        Self {
+            cpu_milli: change(self.cpu_milli),
+            memory_mib: change(self.memory_mib),
+            accelerators: change(self.accelerators),
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn part(amount: u64, total: u64) -> f64 {
+    if total == 0 {
+        0.0
+    } else {
+        amount as f64 / total as f64
+    }
+}
+
+impl Add for ResourceSize {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        self.zip(&other, u64::saturating_add)
+    }
+}
+
+impl AddAssign for ResourceSize {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for ResourceSize {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        debug_assert!(other.fits(&self), "{other:?} taken from {self:?}");
+        self.saturating_sub(&other)
+    }
+}
+
+impl SubAssign for ResourceSize {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+impl From<upstream::ResourceSize> for ResourceSize {
+    fn from(size: upstream::ResourceSize) -> Self {
+        Self::new(size.cpu_milli, size.memory_mib, size.accelerators)
+    }
+}
+
+impl From<document::TeamLimit> for ResourceSize {
+    fn from(size: document::TeamLimit) -> Self {
+        Self::new(size.cpu_milli, size.memory_mib, size.accelerators)
+    }
+}
+
+impl From<caller::TaskSize> for ResourceSize {
+    fn from(size: caller::TaskSize) -> Self {
+        Self::new(size.cpu_milli, size.memory_mib, size.accelerators)
+    }
+}
+
+impl From<ResourceSize> for upstream::ResourceSize {
+    fn from(size: ResourceSize) -> Self {
+        Self {
+            cpu_milli: size.cpu_milli,
+            memory_mib: size.memory_mib,
+            accelerators: size.accelerators,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/peer/member_table.rs
@@ -0,0 +1,396 @@
+//! The entry hosts as one of them knows them, as a pure state machine.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::model::{HostName, ShardName};
+use crate::peer::{Heartbeat, HeartbeatReply, MemberRecord, MemberState, ShardPromise};
+use crate::shard::{OwnerSighting, PeerView};
+
+/// Times of membership, all in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberTiming {
+    /// Time between two heartbeats.
+    pub heartbeat_ms: u64,
+    /// Age up to which what was heard counts as fresh.
+    pub fresh_ms: u64,
+    /// Time for which a promise holds.
+    pub promise_ms: u64,
+    /// Allowance for clocks that run at different speeds.
+    pub drift_margin_ms: u64,
+    /// Silence after which a host is forgotten while the store answers.
+    pub forget_ms: u64,
+    /// Number of hosts of other failure domains that each heartbeat goes to.
+    pub fanout: usize,
+    /// Most records of other hosts in one heartbeat.
+    pub records: usize,
+}
+
+impl Default for MemberTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 400,
+            fresh_ms: 3000,
+            promise_ms: 3000,
+            drift_margin_ms: 300,
+            forget_ms: 15_000,
+            fanout: 3,
+            records: 12,
+        }
+    }
+}
+
+/// Another entry host.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    /// Its newest record.
+    pub record: MemberRecord,
+    /// When a newer record last arrived.
+    pub heard_ms: u64,
+}
+
+/// A host that a heartbeat goes to.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct HeartbeatTarget {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What a host promised to this one.
+#[derive(Clone, Debug)]
+struct HeldPromise {
+    epoch: u64,
+    until_ms: u64,
+}
+
+/// All entry hosts that this one has heard of.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    timing: MemberTiming,
+    me: MemberRecord,
+    seeds: Vec<SocketAddr>,
+    /// Newest record of each other host; a record never gets older.
+    members: BTreeMap<HostName, MemberEntry>,
+    /// Promises that others made to this host, by shard and host.
+    held: BTreeMap<ShardName, BTreeMap<HostName, HeldPromise>>,
+    /// Until when this host promised not to take a shard over.
+    given: BTreeMap<ShardName, u64>,
+    /// When this host last heard the store's log of documents.
+    watched_ms: Option<u64>,
+    started_ms: u64,
+    next_target: usize,
+}
+
+impl MemberTable {
+    /// Makes a table that knows only seeds.
+    #[must_use]
+    pub fn new(
+        now_ms: u64,
+        me: MemberRecord,
+        seeds: Vec<SocketAddr>,
+        timing: MemberTiming,
+    ) -> Self {
+        Self {
+            timing,
+            me,
+            seeds,
+            members: BTreeMap::new(),
+            held: BTreeMap::new(),
+            given: BTreeMap::new(),
+            watched_ms: None,
+            started_ms: now_ms,
+            next_target: 0,
+        }
+    }
+
+    /// Returns this host's own record.
+    #[must_use]
+    pub fn me(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// Returns this host's own record for changes.
+    pub fn me_mut(&mut self) -> &mut MemberRecord {
+        &mut self.me
+    }
+
+    /// Returns the other hosts.
+    pub fn members(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members.values()
+    }
+
+    /// Takes note that the store's log of documents was heard.
+    pub fn watched(&mut self, now_ms: u64) {
+        self.watched_ms = Some(now_ms);
+    }
+
+    /// Makes the next heartbeat, with the records that changed last.
+    pub fn heartbeat(&mut self, now_ms: u64) -> Heartbeat {
+        self.me.sequence += 1;
+        self.me.watched_ms_ago = self
+            .watched_ms
+            .map(|watched| now_ms.saturating_sub(watched));
+        self.current(now_ms)
+    }
+
+    /// Returns the hosts that the next heartbeat goes to: all of this failure domain, some others
+    /// in turn, and the seeds while no other host is known.
+    pub fn targets(&mut self, now_ms: u64) -> Vec<HeartbeatTarget> {
+        let live = self
+            .members
+            .values()
+            .filter(|entry| entry.record.state != MemberState::Left);
+        let (near, far): (Vec<_>, Vec<_>) =
+            live.partition(|entry| entry.record.domain == self.me.domain);
+        let address = |entry: &&MemberEntry| entry.record.peer_address;
+        let mut targets: Vec<SocketAddr> = near.iter().map(address).collect();
+        let count = far.len();
+        let turn = (0..self.timing.fanout.min(count))
+            .map(|offset| far[(self.next_target + offset) % count]);
+        targets.extend(turn.map(|entry| entry.record.peer_address));
+        self.next_target = self.next_target.wrapping_add(self.timing.fanout);
+        let lonely = !self
+            .members
+            .values()
+            .any(|entry| self.is_fresh(now_ms, entry));
+        if lonely || now_ms < self.started_ms + self.timing.fresh_ms {
+            targets.extend(self.seeds.iter().copied());
+        }
+        targets.retain(|target| *target != self.me.peer_address);
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+            .into_iter()
+            .map(|address| HeartbeatTarget { address })
+            .collect()
+    }
+
+    /// Takes a heartbeat and answers it.
+    ///
+    /// `may_promise` tells whether this host can keep off a shard.
+    pub fn receive(
+        &mut self,
+        now_ms: u64,
+        heartbeat: &Heartbeat,
+        may_promise: impl Fn(&ShardName) -> bool,
+    ) -> HeartbeatReply {
+        self.merge(now_ms, heartbeat);
+        let same_domain = heartbeat.from.domain == self.me.domain;
+        let owned = heartbeat
+            .from
+            .shards
+            .iter()
+            .filter(|owned| same_domain && may_promise(&owned.shard));
+        let promises: Vec<ShardPromise> = owned
+            .filter(|owned| self.newest_epoch(&owned.shard) <= owned.epoch)
+            .map(|owned| ShardPromise {
+                shard: owned.shard.clone(),
+                epoch: owned.epoch,
+                promise_ms: self.timing.promise_ms,
+            })
+            .collect();
+        for promise in &promises {
+            self.given
+                .insert(promise.shard.clone(), now_ms + promise.promise_ms);
+        }
+        HeartbeatReply {
+            heartbeat: self.current(now_ms),
+            promises,
+        }
+    }
+
+    /// Takes the answer to a heartbeat that was sent at the given time.
+    pub fn receive_reply(&mut self, now_ms: u64, sent_ms: u64, reply: &HeartbeatReply) {
+        self.merge(now_ms, &reply.heartbeat);
+        for promise in &reply.promises {
+            let until_ms =
+                (sent_ms + promise.promise_ms).saturating_sub(self.timing.drift_margin_ms);
+            let held = HeldPromise {
+                epoch: promise.epoch,
+                until_ms,
+            };
+            let by_host = self.held.entry(promise.shard.clone()).or_default();
+            by_host.insert(reply.heartbeat.from.host.clone(), held);
+        }
+    }
+
+    /// Forgets hosts that have been silent for long.
+    ///
+    /// While the store does not answer, a silent host stays known: it may live, and its promise is
+    /// needed.
+    pub fn forget_silent(&mut self, now_ms: u64) {
+        let store_answers = self.watched_recently(now_ms);
+        let forget_ms = self.timing.forget_ms;
+        self.members.retain(|_, entry| {
+            let silent_ms = now_ms.saturating_sub(entry.heard_ms);
+            let left = entry.record.state == MemberState::Left;
+            silent_ms < forget_ms || !(left || store_answers)
+        });
+    }
+
+    /// Returns since when newer documents may exist unheard of, in milliseconds.
+    ///
+    /// Documents are accepted only through entry hosts and the store, so that a host which hears
+    /// either the store's log or every other entry host knows them all.
+    #[must_use]
+    pub fn stale_since_ms(&self, now_ms: u64) -> Option<u64> {
+        let oldest = self
+            .heard_members()
+            .map(|entry| entry.heard_ms)
+            .min()
+            .unwrap_or(self.started_ms);
+        let all_heard_ms = if self.members.is_empty() {
+            self.started_ms
+        } else {
+            oldest
+        };
+        let known_ms = all_heard_ms.max(self.domain_watched_ms(now_ms));
+        let stale = now_ms > known_ms + self.timing.fresh_ms;
+        stale.then_some(known_ms + self.timing.fresh_ms)
+    }
+
+    /// Returns what a shard needs to know of the other hosts.
+    #[must_use]
+    pub fn view(&self, now_ms: u64, shard: &ShardName, epoch: Option<u64>) -> PeerView {
+        let mut view = PeerView {
+            owner: self.sighting(shard),
+            promised_until_ms: epoch.map_or(0, |epoch| self.promised_until_ms(shard, epoch)),
+            promise_given_until_ms: self.given.get(shard).copied().unwrap_or(0),
+            stale_since_ms: self.stale_since_ms(now_ms),
+            ..PeerView::default()
+        };
+        for entry in self
+            .members
+            .values()
+            .filter(|entry| self.is_fresh(now_ms, entry))
+        {
+            for owned in entry
+                .record
+                .shards
+                .iter()
+                .filter(|owned| owned.shard != *shard)
+            {
+                for (team, running) in &owned.summary.running {
+                    *view.team_totals.entry(team.clone()).or_default() += *running;
+                }
+                view.wanted.extend(owned.summary.wanted.iter().cloned());
+            }
+        }
+        view
+    }
+
+    /// Tells whether this host is the one of its failure domain that watches the store.
+    #[must_use]
+    pub fn is_watcher(&self, now_ms: u64) -> bool {
+        let near = self
+            .members
+            .values()
+            .filter(|entry| entry.record.domain == self.me.domain);
+        let mut live = near.filter(|entry| {
+            self.is_fresh(now_ms, entry) && entry.record.state == MemberState::Live
+        });
+        live.all(|entry| self.me.host < entry.record.host)
+    }
+
+    /// Tells whether the host was heard lately.
+    #[must_use]
+    pub fn is_fresh(&self, now_ms: u64, entry: &MemberEntry) -> bool {
+        now_ms <= entry.heard_ms + self.timing.fresh_ms && entry.record.state != MemberState::Left
+    }
+
+    fn current(&self, _now_ms: u64) -> Heartbeat {
+        let mut newest: Vec<&MemberEntry> = self.members.values().collect();
+        newest.sort_by_key(|entry| std::cmp::Reverse(entry.heard_ms));
+        let known = newest
+            .into_iter()
+            .take(self.timing.records)
+            .map(|entry| entry.record.clone())
+            .collect();
+        Heartbeat {
+            from: self.me.clone(),
+            known,
+        }
+    }
+
+    fn merge(&mut self, now_ms: u64, heartbeat: &Heartbeat) {
+        self.merge_record(now_ms, &heartbeat.from);
+        for record in &heartbeat.known {
+            self.merge_record(now_ms, record);
+        }
+    }
+
+    fn merge_record(&mut self, now_ms: u64, record: &MemberRecord) {
+        if record.host == self.me.host {
+            return;
+        }
+        let known = self.members.get(&record.host).map(|entry| &entry.record);
+        let newer = known.is_none_or(|known| {
+            (record.incarnation, record.sequence) > (known.incarnation, known.sequence)
+        });
+        if newer {
+            let entry = MemberEntry {
+                record: record.clone(),
+                heard_ms: now_ms,
+            };
+            self.members.insert(record.host.clone(), entry);
+        }
+    }
+
+    fn sighting(&self, shard: &ShardName) -> Option<OwnerSighting> {
+        let owned = self.members.values().flat_map(|entry| {
+            let matching = entry
+                .record
+                .shards
+                .iter()
+                .filter(|owned| owned.shard == *shard);
+            matching.map(move |owned| OwnerSighting {
+                host: entry.record.host.clone(),
+                epoch: owned.epoch,
+                heard_ms: entry.heard_ms,
+            })
+        });
+        owned.max_by_key(|sighting| sighting.epoch)
+    }
+
+    fn newest_epoch(&self, shard: &ShardName) -> u64 {
+        self.sighting(shard).map_or(0, |sighting| sighting.epoch)
+    }
+
+    /// Returns until when every other live host of this failure domain promised to keep off.
+    fn promised_until_ms(&self, shard: &ShardName, epoch: u64) -> u64 {
+        let near = self.members.values().filter(|entry| {
+            entry.record.domain == self.me.domain && entry.record.state == MemberState::Live
+        });
+        let held = self.held.get(shard);
+        let until = near.map(|entry| {
+            let promise = held.and_then(|held| held.get(&entry.record.host));
+            promise
+                .filter(|promise| promise.epoch == epoch)
+                .map_or(0, |promise| promise.until_ms)
+        });
+        until.min().unwrap_or(0)
+    }
+
+    fn heard_members(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members
+            .values()
+            .filter(|entry| entry.record.state != MemberState::Left)
+    }
+
+    /// Returns when a host of this failure domain last heard the store's log of documents.
+    fn domain_watched_ms(&self, _now_ms: u64) -> u64 {
+        let near = self
+            .members
+            .values()
+            .filter(|entry| entry.record.domain == self.me.domain);
+        let by_others = near.filter_map(|entry| {
+            let ago_ms = entry.record.watched_ms_ago?;
+            Some(entry.heard_ms.saturating_sub(ago_ms))
+        });
+        by_others.chain(self.watched_ms).max().unwrap_or(0)
+    }
+
+    fn watched_recently(&self, now_ms: u64) -> bool {
+        now_ms <= self.domain_watched_ms(now_ms) + self.timing.fresh_ms
+    }
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/peer/mod.rs
@@ -0,0 +1,13 @@
+//! The other entry hosts: membership, gossip and calls between hosts.
+
+mod heartbeat;
+mod member_table;
+mod peer_clients;
+mod service;
+
+pub use heartbeat::{
+    Heartbeat, HeartbeatReply, MemberRecord, MemberState, OwnedShard, ShardPromise,
+};
+pub use member_table::{HeartbeatTarget, MemberEntry, MemberTable, MemberTiming};
+pub use peer_clients::{PeerClients, PeerFault};
+pub use service::{PeerService, PeerServiceClient, RelayFault};
--- /dev/null
+++ b/crates/lagoonnotch/src/peer/service.rs
@@ -0,0 +1,30 @@
+//! Calls between entry hosts.
+#![allow(missing_docs)]
+
+use lagoonnotch_wire::store::{StoreCall, StoreReply};
+use serde::{Deserialize, Serialize};
+
+use crate::document::LedgerSnapshot;
+use crate::model::ShardName;
+use crate::peer::{Heartbeat, HeartbeatReply};
+use crate::shard::{ShardCommand, ShardReply};
+
+/// A store call that a peer could not make.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayFault;
+
+/// What an entry host does for another.
+#[tarpc::service]
+pub trait PeerService {
+    /// Exchanges heartbeats.
+    async fn exchange(heartbeat: Heartbeat) -> HeartbeatReply;
+
+    /// Carries out a command of a shard that this host owns.
+    async fn command(shard: ShardName, request: ShardCommand) -> ShardReply;
+
+    /// Returns the documents after a revision.
+    async fn documents_since(revision: u64) -> LedgerSnapshot;
+
+    /// Makes a store call for a host that can't reach the store.
+    async fn relay(call: StoreCall) -> Result<StoreReply, RelayFault>;
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/problem/mod.rs
@@ -0,0 +1,7 @@
+//! Errors for callers, as problem+json.
+
+mod problem_code;
+mod problem_report;
+
+pub use problem_code::ProblemCode;
+pub use problem_report::ProblemReport;
--- /dev/null
+++ b/crates/lagoonnotch/src/settings/host_settings.rs
@@ -0,0 +1,188 @@
+//! Checked settings of one entry host.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use ed25519_dalek::VerifyingKey;
+use lagoonnotch_wire::SETTINGS_SCHEMA;
+use lagoonnotch_wire::settings::{CallerLimits, DaemonSettings};
+use serde_json::Value;
+
+use crate::document::parse_public_key;
+use crate::finding::{Finding, FindingList, SchemaCheck};
+use crate::model::{DomainName, HostName};
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLimits {
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Largest request head, in bytes.
+    pub header_bytes: usize,
+    /// Most open connections.
+    pub connections: usize,
+    /// Longest time that a quick request may take.
+    pub request_time: Duration,
+    /// Time between failing the readiness check and refusing work.
+    pub drain_notice: Duration,
+}
+
+impl From<CallerLimits> for RequestLimits {
+    fn from(limits: CallerLimits) -> Self {
+        Self {
+            body_bytes: usize::try_from(limits.body_bytes).unwrap_or(usize::MAX),
+            header_bytes: usize::try_from(limits.header_bytes).unwrap_or(usize::MAX),
+            connections: usize::try_from(limits.connections).unwrap_or(usize::MAX),
+            request_time: Duration::from_millis(limits.request_ms),
+            drain_notice: Duration::from_millis(limits.drain_notice_ms),
+        }
+    }
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        let limits = serde_json::from_str::<CallerLimits>("{}").expect("every limit has a default");
+        Self::from(limits)
+    }
+}
+
+/// Settings of one entry host, after every check.
+#[derive(Clone, Debug)]
+pub struct HostSettings {
+    /// Name of this entry host.
+    pub host: HostName,
+    /// Failure domain of this entry host.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other entry hosts.
+    pub peer_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Address of the store and of the platform's host list.
+    pub store_address: SocketAddr,
+    /// Peer addresses that are asked first.
+    pub seeds: Vec<SocketAddr>,
+    /// Keys whose signatures on documents are accepted.
+    pub approvers: Vec<VerifyingKey>,
+    /// Bounds on what callers may send.
+    pub limits: RequestLimits,
+}
+
+/// Parses and checks a settings text.
+///
+/// # Errors
+/// Returns every finding, each with its JSON pointer.
+pub fn parse_settings(text: &str) -> Result<HostSettings, FindingList> {
+    static CHECK: OnceLock<SchemaCheck> = OnceLock::new();
+    let check = CHECK.get_or_init(|| SchemaCheck::new(SETTINGS_SCHEMA, "DaemonSettings"));
+    let value: Value = serde_json::from_str(text).map_err(|error| {
+        let finding = Finding::new("json_syntax", "", error.to_string(), "well-formed JSON");
+        FindingList {
+            findings: vec![finding],
+        }
+    })?;
+    let mut list = check.check(&value);
+    check_addresses(&value, &mut list);
+    check_approvers(&value, &mut list);
+    list.into_result(())?;
+    convert_settings(text)
+}
+
+/// Adds a finding for each address that is not an IP address and port.
+fn check_addresses(value: &Value, list: &mut FindingList) {
+    let names = [
+        "caller_address",
+        "peer_address",
+        "admin_address",
+        "store_address",
+    ];
+    for name in names {
+        check_address(&value[name], &format!("/{name}"), list);
+    }
+    for (index, seed) in value["seeds"].as_array().into_iter().flatten().enumerate() {
+        check_address(seed, &format!("/seeds/{index}"), list);
+    }
+    let served = names
+        .iter()
+        .take(3)
+        .filter_map(|name| value[*name].as_str());
+    let mut served: Vec<&str> = served.collect();
+    let count = served.len();
+    served.sort_unstable();
+    served.dedup();
+    if served.len() < count && !served.iter().any(|address| address.ends_with(":0")) {
+        let expected = "different addresses for callers, peers and operators";
+        list.push(Finding::new(
+            "same_address",
+            "",
+            "one address used twice",
+            expected,
+        ));
+    }
+}
+
+fn check_address(value: &Value, place: &str, list: &mut FindingList) {
+    let Some(text) = value.as_str() else {
+        return;
+    };
+    if text.parse::<SocketAddr>().is_err() {
+        let expected = "an IP address and port, as in 10.0.0.1:8080";
+        list.push(Finding::new(
+            "wrong_address",
+            place,
+            format!("\"{text}\""),
+            expected,
+        ));
+    }
+}
+
+fn check_approvers(value: &Value, list: &mut FindingList) {
+    for (index, approver) in value["approvers"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .enumerate()
+    {
+        let Some(text) = approver.as_str().filter(|text| text.len() == 64) else {
+            continue;
+        };
+        if parse_public_key(text).is_none() {
+            let place = format!("/approvers/{index}");
+            list.push(Finding::new(
+                "wrong_key",
+                place,
+                format!("\"{text}\""),
+                "an Ed25519 public key",
+            ));
+        }
+    }
+}
+
+fn convert_settings(text: &str) -> Result<HostSettings, FindingList> {
+    let settings: DaemonSettings = serde_json::from_str(text).map_err(|error| FindingList {
+        findings: vec![Finding::new(
+            "json_syntax",
+            "",
+            error.to_string(),
+            "settings of this schema",
+        )],
+    })?;
+    let address = |text: &str| text.parse().expect("address was checked");
+    Ok(HostSettings {
+        host: HostName::from(settings.host),
+        domain: DomainName::from(settings.failure_domain),
+        caller_address: address(&settings.caller_address),
+        peer_address: address(&settings.peer_address),
+        admin_address: address(&settings.admin_address),
+        store_address: address(&settings.store_address),
+        seeds: settings.seeds.iter().map(|seed| address(seed)).collect(),
+        approvers: settings
+            .approvers
+            .iter()
+            .filter_map(|key| parse_public_key(key))
+            .collect(),
+        limits: settings.limits.map(RequestLimits::from).unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of the daemon.
+
+mod host_settings;
+
+pub use host_settings::{HostSettings, RequestLimits, parse_settings};
--- /dev/null
+++ b/crates/lagoonnotch/src/shard/claim.rs
@@ -0,0 +1,427 @@
+//! Taking a shard over: lease, epoch, journal and seal.
+
+use std::sync::Arc;
+
+use lagoonnotch_wire::store::{StoreCall, StoreEntry, StoreReply};
+use serde::{Deserialize, Serialize};
+
+use crate::event::EventCode;
+use crate::journal::{
+    JournalRecord, JournalSegment, ShardLedger, SnapshotHead, join_snapshot, segment_number,
+};
+use crate::model::HostName;
+use crate::shard::effect_desk::CallPurpose;
+use crate::shard::machine::{ShardIdentity, ShardMachine};
+use crate::shard::messages::CallFault;
+use crate::shard::owner::{OwnerState, RecoveredJournal};
+use crate::shard::phase::{OwnershipEvent, OwnershipPhase};
+
+/// Number of journal segments that one call reads.
+const SEGMENTS_PER_CALL: u64 = 16;
+
+/// Time after which an unfinished claim is given up, in milliseconds.
+const CLAIM_TIMEOUT_MS: u64 = 10_000;
+
+/// Who holds an owner key or an epoch.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct OwnerRecord {
+    pub host: HostName,
+    pub incarnation: u64,
+    pub epoch: u64,
+}
+
+impl OwnerRecord {
+    fn new(identity: &ShardIdentity, epoch: u64) -> Self {
+        Self {
+            host: identity.host.clone(),
+            incarnation: identity.incarnation,
+            epoch,
+        }
+    }
+
+    /// Parses a stored value.
+    pub fn parse(text: &str) -> Option<Self> {
+        serde_json::from_str(text).ok()
+    }
+
+    /// Tells whether this run of this host wrote the record.
+    pub fn is_of(&self, identity: &ShardIdentity) -> bool {
+        self.host == identity.host && self.incarnation == identity.incarnation
+    }
+
+    fn to_text(&self) -> String {
+        serde_json::to_string(self).expect("record has a JSON form")
+    }
+}
+
+/// The next call of a claim.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum ClaimStep {
+    #[default]
+    Lease,
+    Owner,
+    Epoch,
+    SnapshotHead,
+    SnapshotParts,
+    Journal,
+    Seal,
+}
+
+/// Progress of a claim.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ClaimState {
+    step: ClaimStep,
+    /// When to make the step's call again after a call without an answer.
+    retry_ms: Option<u64>,
+    started_ms: u64,
+    sent_ms: u64,
+    lease: u64,
+    /// Epoch that this claim tried to write; only this claim can have written it.
+    tried_epoch: Option<u64>,
+    epoch: u64,
+    head: Option<SnapshotHead>,
+    head_revision: u64,
+    parts: Vec<String>,
+    ledger: ShardLedger,
+    /// Last journal segment that the ledger contains.
+    through: u64,
+    /// Revisions of the segments that were read, for their later deletion.
+    segments: Vec<StoreEntry>,
+}
+
+impl ShardMachine {
+    /// Decides whether to claim the shard, from the owner key.
+    pub(super) fn owner_found(&mut self, now_ms: u64, result: &Result<StoreReply, CallFault>) {
+        let absent = matches!(result, Ok(StoreReply::Value { entry: None }));
+        let promised = now_ms < self.peers.promise_given_until_ms;
+        if !absent || promised || self.phase != OwnershipPhase::Standby {
+            return;
+        }
+        self.claim = ClaimState {
+            started_ms: now_ms,
+            ..ClaimState::default()
+        };
+        self.advance(OwnershipEvent::OwnerAbsent);
+        self.issue_step(now_ms, ClaimStep::Lease);
+    }
+
+    /// Repeats the present call when it is time, and gives up when the claim takes too long.
+    pub(super) fn tick_claim(&mut self, now_ms: u64) {
+        if now_ms > self.claim.started_ms + CLAIM_TIMEOUT_MS {
+            self.step_down(now_ms, "the claim took too long");
+            return;
+        }
+        if self
+            .claim
+            .retry_ms
+            .is_some_and(|retry_ms| now_ms >= retry_ms)
+        {
+            self.issue_step(now_ms, self.claim.step);
+        }
+    }
+
+    /// Takes the result of a claim's call.
+    pub(super) fn claim_result(
+        &mut self,
+        now_ms: u64,
+        purpose: &CallPurpose,
+        result: Result<StoreReply, CallFault>,
+    ) {
+        let Ok(reply) = result else {
+            self.claim.retry_ms = Some(now_ms + self.timing.store_retry_ms);
+            return;
+        };
+        match purpose {
+            CallPurpose::ClaimLease => self.claim_leased(now_ms, &reply),
+            CallPurpose::ClaimOwner => self.claim_owner_put(now_ms, &reply),
+            CallPurpose::ReadEpoch => self.claim_epoch_read(now_ms, &reply),
+            CallPurpose::WriteEpoch { epoch } => self.claim_epoch_written(now_ms, *epoch, &reply),
+            CallPurpose::ReadSnapshotHead => self.snapshot_head_read(now_ms, &reply),
+            CallPurpose::ReadSnapshotParts => self.snapshot_parts_read(now_ms, reply),
+            CallPurpose::ReadJournal => self.journal_read(now_ms, reply),
+            CallPurpose::WriteSeal { number } => self.seal_written(now_ms, *number, &reply),
+            _ => {}
+        }
+    }
+
+    /// Returns the call that takes the owner key under a lease.
+    pub(super) fn owner_put(&self, lease: u64) -> StoreCall {
+        let value = OwnerRecord::new(&self.identity, 0).to_text();
+        StoreCall::Put {
+            key: self.keys.owner(),
+            value,
+            expect: 0,
+            lease: Some(lease),
+        }
+    }
+
+    fn issue_step(&mut self, now_ms: u64, step: ClaimStep) {
+        self.claim.step = step;
+        self.claim.retry_ms = None;
+        self.claim.sent_ms = now_ms;
+        let (request, purpose) = match step {
+            ClaimStep::Lease => (
+                StoreCall::LeaseGrant {
+                    ttl_ms: self.timing.lease_ttl_ms,
+                },
+                CallPurpose::ClaimLease,
+            ),
+            ClaimStep::Owner => (self.owner_put(self.claim.lease), CallPurpose::ClaimOwner),
+            ClaimStep::Epoch => (
+                StoreCall::Get {
+                    key: self.keys.epoch(),
+                },
+                CallPurpose::ReadEpoch,
+            ),
+            ClaimStep::SnapshotHead => (
+                StoreCall::Get {
+                    key: self.keys.snapshot_head(),
+                },
+                CallPurpose::ReadSnapshotHead,
+            ),
+            ClaimStep::SnapshotParts => (self.parts_range(), CallPurpose::ReadSnapshotParts),
+            ClaimStep::Journal => (self.journal_range(), CallPurpose::ReadJournal),
+            ClaimStep::Seal => self.seal_put(),
+        };
+        self.desk.call_store(request, purpose);
+    }
+
+    fn claim_leased(&mut self, now_ms: u64, reply: &StoreReply) {
+        let StoreReply::Lease { lease } = reply else {
+            return self.step_down(now_ms, "no lease was granted");
+        };
+        self.claim.lease = *lease;
+        self.lease.grant(*lease, self.claim.sent_ms, &self.timing);
+        self.issue_step(now_ms, ClaimStep::Owner);
+    }
+
+    fn claim_owner_put(&mut self, now_ms: u64, reply: &StoreReply) {
+        let ours = match reply {
+            StoreReply::Written { .. } => true,
+            StoreReply::Conflict { entry: Some(entry) } => {
+                OwnerRecord::parse(&entry.value).is_some_and(|record| record.is_of(&self.identity))
+            }
+            _ => false,
+        };
+        if ours {
+            self.issue_step(now_ms, ClaimStep::Epoch);
+        } else {
+            self.step_down(now_ms, "another host took the lease first");
+        }
+    }
+
+    fn claim_epoch_read(&mut self, now_ms: u64, reply: &StoreReply) {
+        let StoreReply::Value { entry } = reply else {
+            return self.step_down(now_ms, "the epoch could not be read");
+        };
+        let record = entry
+            .as_ref()
+            .and_then(|entry| OwnerRecord::parse(&entry.value));
+        let newest = record.as_ref().map_or(0, |record| record.epoch);
+        let written = record.is_some_and(|record| record.is_of(&self.identity))
+            && self.claim.tried_epoch == Some(newest);
+        if written {
+            return self.claim_complete(now_ms, newest);
+        }
+        let epoch = newest + 1;
+        self.claim.tried_epoch = Some(epoch);
+        let request = StoreCall::Put {
+            key: self.keys.epoch(),
+            value: OwnerRecord::new(&self.identity, epoch).to_text(),
+            expect: entry.as_ref().map_or(0, |entry| entry.revision),
+            lease: None,
+        };
+        self.desk
+            .call_store(request, CallPurpose::WriteEpoch { epoch });
+    }
+
+    fn claim_epoch_written(&mut self, now_ms: u64, epoch: u64, reply: &StoreReply) {
+        if matches!(reply, StoreReply::Written { .. }) {
+            self.claim_complete(now_ms, epoch);
+        } else {
+            self.issue_step(now_ms, ClaimStep::Epoch);
+        }
+    }
+
+    fn claim_complete(&mut self, now_ms: u64, epoch: u64) {
+        self.claim.epoch = epoch;
+        self.advance(OwnershipEvent::Claimed);
+        self.issue_step(now_ms, ClaimStep::SnapshotHead);
+    }
+
+    fn snapshot_head_read(&mut self, now_ms: u64, reply: &StoreReply) {
+        let StoreReply::Value { entry } = reply else {
+            return self.step_down(now_ms, "the snapshot could not be read");
+        };
+        self.claim.parts.clear();
+        self.claim.head = entry
+            .as_ref()
+            .and_then(|entry| serde_json::from_str(&entry.value).ok());
+        self.claim.head_revision = entry.as_ref().map_or(0, |entry| entry.revision);
+        match self.claim.head {
+            Some(_) => self.issue_step(now_ms, ClaimStep::SnapshotParts),
+            None => self.issue_step(now_ms, ClaimStep::Journal),
+        }
+    }
+
+    /// Returns the call that reads the next part of the snapshot.
+    fn parts_range(&self) -> StoreCall {
+        let through = self.claim.head.map_or(0, |head| head.through);
+        let after = match self.claim.parts.len() {
+            0 => String::new(),
+            count => self.keys.snapshot_part(through, count - 1),
+        };
+        StoreCall::Range {
+            prefix: self.keys.snapshot_parts(through),
+            after,
+            limit: 1,
+        }
+    }
+
+    fn snapshot_parts_read(&mut self, now_ms: u64, reply: StoreReply) {
+        let StoreReply::Entries { entries, .. } = reply else {
+            return self.step_down(now_ms, "the snapshot could not be read");
+        };
+        let Some(head) = self.claim.head else {
+            return self.step_down(now_ms, "there is no snapshot");
+        };
+        if entries.is_empty() {
+            return self.issue_step(now_ms, ClaimStep::SnapshotHead);
+        }
+        self.claim
+            .parts
+            .extend(entries.into_iter().map(|entry| entry.value));
+        if self.claim.parts.len() < head.parts {
+            return self.issue_step(now_ms, ClaimStep::SnapshotParts);
+        }
+        match join_snapshot(&self.claim.parts) {
+            Ok(ledger) => {
+                self.claim.ledger = ledger;
+                self.claim.through = head.through;
+                self.claim.parts.clear();
+                self.issue_step(now_ms, ClaimStep::Journal);
+            }
+            Err(error) => self.step_down(now_ms, &format!("the snapshot is unreadable: {error}")),
+        }
+    }
+
+    fn journal_range(&self) -> StoreCall {
+        StoreCall::Range {
+            prefix: self.keys.journal(),
+            after: self.keys.segment(self.claim.through),
+            limit: SEGMENTS_PER_CALL,
+        }
+    }
+
+    fn journal_read(&mut self, now_ms: u64, reply: StoreReply) {
+        let StoreReply::Entries { entries, more } = reply else {
+            return self.step_down(now_ms, "the journal could not be read");
+        };
+        for entry in entries {
+            if !self.apply_segment(&entry) {
+                return self.step_down(
+                    now_ms,
+                    &format!("journal segment {} is unreadable", entry.key),
+                );
+            }
+        }
+        if more {
+            return self.issue_step(now_ms, ClaimStep::Journal);
+        }
+        if self.phase == OwnershipPhase::Reading {
+            self.advance(OwnershipEvent::JournalRead);
+        }
+        self.issue_step(now_ms, ClaimStep::Seal);
+    }
+
+    /// Applies the next segment; returns whether it was readable and in its place.
+    fn apply_segment(&mut self, entry: &StoreEntry) -> bool {
+        let in_place = segment_number(&entry.key) == Some(self.claim.through + 1);
+        let segment = serde_json::from_str::<JournalSegment>(&entry.value).ok();
+        let Some(segment) = segment.filter(|_| in_place) else {
+            return false;
+        };
+        for record in &segment.records {
+            self.claim.ledger.apply(record);
+        }
+        self.claim.through += 1;
+        self.claim.segments.push(StoreEntry {
+            value: String::new(),
+            ..entry.clone()
+        });
+        true
+    }
+
+    fn seal_put(&self) -> (StoreCall, CallPurpose) {
+        let number = self.claim.through + 1;
+        let epoch = self.claim.epoch;
+        let records = vec![JournalRecord::Sealed { epoch }];
+        let segment = JournalSegment {
+            epoch,
+            batch: seal_batch(epoch),
+            records,
+        };
+        let value = serde_json::to_string(&segment).expect("segment has a JSON form");
+        let request = StoreCall::Put {
+            key: self.keys.segment(number),
+            value,
+            expect: 0,
+            lease: None,
+        };
+        (request, CallPurpose::WriteSeal { number })
+    }
+
+    fn seal_written(&mut self, now_ms: u64, number: u64, reply: &StoreReply) {
+        match reply {
+            StoreReply::Written { revision } => self.journal_sealed(now_ms, number, *revision),
+            StoreReply::Conflict { entry: Some(entry) } => {
+                let segment = serde_json::from_str::<JournalSegment>(&entry.value).ok();
+                let ours = segment
+                    .as_ref()
+                    .is_some_and(|segment| segment.batch == seal_batch(self.claim.epoch));
+                let newer = segment.is_some_and(|segment| segment.epoch > self.claim.epoch);
+                if ours {
+                    self.journal_sealed(now_ms, number, entry.revision);
+                } else if newer {
+                    self.step_down(now_ms, "a newer owner sealed the journal");
+                } else {
+                    self.issue_step(now_ms, ClaimStep::Journal);
+                }
+            }
+            _ => self.step_down(now_ms, "the journal could not be sealed"),
+        }
+    }
+
+    fn journal_sealed(&mut self, now_ms: u64, number: u64, revision: u64) {
+        let claim = std::mem::take(&mut self.claim);
+        let mut ledger = claim.ledger;
+        ledger.apply(&JournalRecord::Sealed { epoch: claim.epoch });
+        let mut segments = claim.segments;
+        segments.push(StoreEntry {
+            key: self.keys.segment(number),
+            value: String::new(),
+            revision,
+        });
+        let journal = RecoveredJournal {
+            epoch: claim.epoch,
+            ledger,
+            through: number,
+            segments,
+            head: claim.head,
+            head_revision: claim.head_revision,
+        };
+        self.desk.event(
+            EventCode::OwnershipPhase,
+            format!("shard {} epoch {}", self.identity.shard, journal.epoch),
+        );
+        let hosts = self.hosts.clone().unwrap_or_default();
+        self.owner = Some(OwnerState::recover(now_ms, journal, &hosts, &self.timing));
+        self.advance(OwnershipEvent::Sealed);
+        self.with_owner(now_ms, OwnerState::begin_recovery);
+    }
+}
+
+/// Returns the batch identifier of an epoch's seal.
+fn seal_batch(epoch: u64) -> Arc<str> {
+    Arc::from(format!("{epoch}-seal"))
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/shard/owner/commands.rs
@@ -0,0 +1,490 @@
+//! Commands of entry hosts.
+
+use std::sync::Arc;
+
+use crate::document::{WorkClass, WorkloadPolicy};
+use crate::journal::{AcceptedWork, JournalRecord, TaskOutcome};
+use crate::model::{AttemptId, ResourceSize, TaskId, TeamName, WorkId};
+use crate::shard::messages::{
+    AttemptEnd, AttemptReport, CommandId, PlaceRequest, Refusal, RefusalCode, ShardCommand,
+    ShardReply, WorkAnswer,
+};
+use crate::shard::owner::commits::FollowUp;
+use crate::shard::owner::settle::PlacedAttempt;
+use crate::shard::owner::state::{WorkTimer, end_refusal};
+use crate::shard::owner::work_entry::{TaskPhase, WorkEntry};
+use crate::shard::owner::{OwnerState, StepContext};
+
+/// Time after which a refused caller may try again, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+
+impl OwnerState {
+    /// Carries out a command.
+    pub(in crate::shard) fn command(
+        &mut self,
+        context: &mut StepContext<'_>,
+        command: CommandId,
+        request: ShardCommand,
+    ) {
+        match request {
+            ShardCommand::Place(request) => self.place(context, command, &request),
+            ShardCommand::Submit(accepted) => self.submit(context, command, accepted),
+            ShardCommand::Show { work, team } => match self.find_job(&work, &team) {
+                Ok(entry) => context
+                    .desk
+                    .reply(command, ShardReply::Status(entry.status())),
+                Err(refusal) => context.desk.refuse(command, refusal),
+            },
+            ShardCommand::Cancel { work, team } => self.cancel(context, command, &work, &team),
+            ShardCommand::Answer { work, team, index } => {
+                match self.find_answer(context, &work, &team, index) {
+                    Ok(answer) => context.desk.reply(command, ShardReply::Answer(answer)),
+                    Err(refusal) => context.desk.refuse(command, refusal),
+                }
+            }
+            ShardCommand::Report(report) => {
+                self.take_report(context, &report);
+                context.desk.reply(command, ShardReply::Noted);
+            }
+        }
+    }
+
+    /// Adds a work whose tasks all wait.
+    pub(super) fn insert_work(&mut self, accepted: AcceptedWork, deadline_ms: u64) {
+        self.next_sequence += 1;
+        let work = accepted.id.clone();
+        self.works.insert(
+            work,
+            WorkEntry::new(accepted, self.next_sequence, deadline_ms),
+        );
+    }
+
+    /// Refuses the quick requests whose time is over.
+    pub(super) fn expire_deadlines(&mut self, context: &mut StepContext<'_>) {
+        while let Some(timer) = self
+            .deadlines
+            .first()
+            .filter(|timer| timer.at_ms <= context.now_ms)
+            .cloned()
+        {
+            self.deadlines.remove(&timer);
+            let Some(work) = self.works.get_mut(&timer.work) else {
+                continue;
+            };
+            if work.deadline_ms > context.now_ms {
+                continue;
+            }
+            let refusal = end_refusal(
+                work,
+                RefusalCode::DeadlineExceeded,
+                "the time for the request is over",
+            );
+            for command in work.waiters.drain(..) {
+                context.desk.refuse(command, refusal.clone());
+            }
+            if work.tasks[0].phase() == TaskPhase::Waiting {
+                self.abandon(context, &timer.work);
+            }
+        }
+    }
+
+    /// Ends a quick request that waits and that no caller waits for.
+    pub(super) fn abandon(&mut self, context: &mut StepContext<'_>, work: &WorkId) {
+        let task = TaskId {
+            work: work.clone(),
+            index: 0,
+        };
+        self.queue.remove(&task);
+        let recorded = self.works.get(work).is_some_and(|entry| entry.recorded);
+        if recorded {
+            self.settle(context, &task, TaskOutcome::NotRun, None, None);
+        } else {
+            self.works.remove(work);
+        }
+    }
+
+    fn place(&mut self, context: &mut StepContext<'_>, command: CommandId, request: &PlaceRequest) {
+        if let Some(entry) = self.works.get(&request.work) {
+            if entry.accepted.team != request.team {
+                let refusal = Refusal::not_run(
+                    RefusalCode::OtherTeam,
+                    "the identifier belongs to another team",
+                );
+                return context.desk.refuse(command, refusal);
+            }
+            let task = &entry.tasks[0];
+            let failed =
+                request.failed_attempt.is_some() && request.failed_attempt == task.attempt_number();
+            let answer_gone = failed && task.phase() == TaskPhase::Settled && !entry.journaled();
+            if answer_gone || task.outcome == Some(TaskOutcome::NotRun) {
+                self.forget(&request.work);
+            } else {
+                return self.join(context, command, request);
+            }
+        }
+        match self.admit_request(context, request) {
+            Ok(accepted) => {
+                let deadline_ms = context.now_ms + request.remaining_ms;
+                self.insert_work(accepted, deadline_ms);
+                self.deadlines.insert(WorkTimer {
+                    at_ms: deadline_ms,
+                    work: request.work.clone(),
+                });
+                self.add_waiter(&request.work, command);
+                self.enqueue_work(&request.work, context.now_ms);
+            }
+            Err(refusal) => context.desk.refuse(command, refusal),
+        }
+    }
+
+    /// Lets a command wait for a request that is known already.
+    fn join(&mut self, context: &mut StepContext<'_>, command: CommandId, request: &PlaceRequest) {
+        let deadline_ms = context.now_ms + request.remaining_ms;
+        self.add_waiter(&request.work, command);
+        self.deadlines.insert(WorkTimer {
+            at_ms: deadline_ms,
+            work: request.work.clone(),
+        });
+        let Some(entry) = self.works.get_mut(&request.work) else {
+            return;
+        };
+        entry.deadline_ms = entry.deadline_ms.max(deadline_ms);
+        let task = &entry.tasks[0];
+        let failed =
+            request.failed_attempt.is_some() && request.failed_attempt == task.attempt_number();
+        match task.phase() {
+            TaskPhase::Starting | TaskPhase::Running if failed => {
+                let task = entry.task_id(0);
+                self.revoke(context, &task);
+            }
+            TaskPhase::Starting | TaskPhase::Running | TaskPhase::Settled => {
+                self.answer_joined(context, &request.work);
+            }
+            TaskPhase::Waiting | TaskPhase::Intending | TaskPhase::Doubtful => {}
+        }
+    }
+
+    /// Answers the commands that wait for a request that runs or has ended.
+    pub(super) fn answer_joined(&mut self, context: &mut StepContext<'_>, work: &WorkId) {
+        let Some(entry) = self.works.get(work) else {
+            return;
+        };
+        let task = &entry.tasks[0];
+        let refusal = match task.outcome {
+            Some(TaskOutcome::Unknown) => Refusal::unknown(
+                RefusalCode::OutcomeUnknown,
+                "the request may or may not have run",
+            ),
+            Some(TaskOutcome::Cancelled) => {
+                Refusal::unknown(RefusalCode::Cancelled, "the work was cancelled")
+            }
+            Some(TaskOutcome::NotRun) => {
+                Refusal::not_run(RefusalCode::DeadlineExceeded, "the request did not run")
+            }
+            _ => Refusal::done(RefusalCode::AnswerGone, "the answer is no longer kept"),
+        };
+        let ended = task.phase() == TaskPhase::Settled;
+        let kept = matches!(
+            task.outcome,
+            None | Some(TaskOutcome::Completed | TaskOutcome::Failed)
+        );
+        let reply = match self.ticket(context, &entry.task_id(0), true) {
+            Some(ticket) if kept => ShardReply::Ticket(ticket),
+            _ if ended => ShardReply::Refused(refusal),
+            _ => return,
+        };
+        self.reply_waiters(context.desk, work, &reply);
+    }
+
+    fn add_waiter(&mut self, work: &WorkId, command: CommandId) {
+        if let Some(entry) = self.works.get_mut(work) {
+            entry.waiters.push(command);
+        }
+    }
+
+    fn admit_request(
+        &self,
+        context: &StepContext<'_>,
+        request: &PlaceRequest,
+    ) -> Result<AcceptedWork, Refusal> {
+        let Some(policy) = context.config.workloads.get(&request.workload) else {
+            let detail = format!("there is no workload {}", request.workload);
+            return Err(Refusal::not_run(RefusalCode::UnknownWorkload, detail));
+        };
+        check_starts(context)?;
+        let accepted = AcceptedWork {
+            id: request.work.clone(),
+            team: request.team.clone(),
+            workload: request.workload.clone(),
+            class: policy.class,
+            idempotent: policy.idempotent && !request.non_idempotent,
+            preemptible: policy.preemptible,
+            lasting: false,
+            size: policy.size,
+            tasks: 1,
+            max_attempts: policy.max_attempts,
+            deadline_ms: policy.deadline_ms,
+            payload: "".into(),
+        };
+        self.check_possible(context, &accepted)?;
+        self.check_queue(context, &accepted, policy)?;
+        Ok(accepted)
+    }
+
+    /// Refuses work that can never run here.
+    fn check_possible(
+        &self,
+        context: &StepContext<'_>,
+        accepted: &AcceptedWork,
+    ) -> Result<(), Refusal> {
+        let together = if accepted.class == WorkClass::Gang {
+            accepted.tasks
+        } else {
+            1
+        };
+        let needed = accepted.size.times(u64::from(together));
+        let limit = context
+            .config
+            .teams
+            .get(&accepted.team)
+            .map_or(ResourceSize::ZERO, |team| team.limit);
+        if !needed.fits(&limit) {
+            let detail = format!("{needed:?} is beyond the limit of team {}", accepted.team);
+            return Err(Refusal::not_run(RefusalCode::Impossible, detail));
+        }
+        if !self
+            .upstreams
+            .values()
+            .any(|entry| accepted.size.fits(&entry.capacity))
+        {
+            let detail = format!(
+                "no upstream of shard {} has {:?}",
+                context.identity.shard, accepted.size
+            );
+            return Err(Refusal::not_run(RefusalCode::Impossible, detail));
+        }
+        Ok(())
+    }
+
+    fn check_queue(
+        &self,
+        context: &StepContext<'_>,
+        accepted: &AcceptedWork,
+        policy: &WorkloadPolicy,
+    ) -> Result<(), Refusal> {
+        let most = context
+            .config
+            .queues
+            .get(&policy.queue)
+            .map_or(0, |queue| queue.max_waiting as usize);
+        let waiting = self.queue.count(accepted.class, &accepted.team);
+        if waiting + accepted.tasks as usize > most {
+            let detail = format!(
+                "{waiting} tasks of team {} wait, of at most {most}",
+                accepted.team
+            );
+            return Err(
+                Refusal::not_run(RefusalCode::QueueFull, detail).retry_after(RETRY_AFTER_MS)
+            );
+        }
+        Ok(())
+    }
+
+    fn submit(
+        &mut self,
+        context: &mut StepContext<'_>,
+        command: CommandId,
+        accepted: AcceptedWork,
+    ) {
+        if let Some(entry) = self.works.get(&accepted.id) {
+            if entry.accepted.team == accepted.team {
+                return context
+                    .desk
+                    .reply(command, ShardReply::Accepted(accepted.id));
+            }
+            let refusal = Refusal::not_run(
+                RefusalCode::OtherTeam,
+                "the identifier belongs to another team",
+            );
+            return context.desk.refuse(command, refusal);
+        }
+        if let Some(commands) = self.submits.get_mut(&accepted.id) {
+            return commands.push(command);
+        }
+        let Some(policy) = context.config.workloads.get(&accepted.workload) else {
+            let detail = format!("there is no workload {}", accepted.workload);
+            return context.desk.refuse(
+                command,
+                Refusal::not_run(RefusalCode::UnknownWorkload, detail),
+            );
+        };
+        let possible = self.check_possible(context, &accepted);
+        let checked = possible.and_then(|()| self.check_queue(context, &accepted, policy));
+        if let Err(refusal) = checked {
+            return context.desk.refuse(command, refusal);
+        }
+        self.submits.insert(accepted.id.clone(), vec![command]);
+        let record = JournalRecord::Accepted {
+            work: accepted.clone(),
+        };
+        self.append(record, Some(FollowUp::AcceptJob(accepted)));
+    }
+
+    fn find_job(&self, work: &WorkId, team: &TeamName) -> Result<&WorkEntry, Refusal> {
+        let entry = self
+            .works
+            .get(work)
+            .filter(|entry| entry.accepted.team == *team);
+        entry.ok_or_else(|| {
+            Refusal::unknown(
+                RefusalCode::UnknownWork,
+                format!("team {team} has no job {work}, or no longer"),
+            )
+        })
+    }
+
+    fn cancel(
+        &mut self,
+        context: &mut StepContext<'_>,
+        command: CommandId,
+        work: &WorkId,
+        team: &TeamName,
+    ) {
+        let entry = match self.find_job(work, team) {
+            Ok(entry) => entry,
+            Err(refusal) => return context.desk.refuse(command, refusal),
+        };
+        if entry.is_settled() {
+            let status = entry.status();
+            return context.desk.reply(command, ShardReply::Status(status));
+        }
+        self.add_waiter(work, command);
+        let record = JournalRecord::Cancelled { work: work.clone() };
+        self.append(record, Some(FollowUp::ApplyCancel(work.clone())));
+    }
+
+    /// Stops the tasks of a cancelled job and answers the cancellation.
+    pub(super) fn apply_cancel(&mut self, context: &mut StepContext<'_>, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else {
+            return;
+        };
+        entry.cancelled = true;
+        let tasks: Vec<TaskId> = (0..entry.accepted.tasks)
+            .map(|index| entry.task_id(index))
+            .collect();
+        for task in tasks {
+            self.cancel_task(context, &task);
+        }
+        if let Some(entry) = self.works.get(work) {
+            let reply = ShardReply::Status(entry.status());
+            self.reply_waiters(context.desk, work, &reply);
+        }
+    }
+
+    fn cancel_task(&mut self, context: &mut StepContext<'_>, task: &TaskId) {
+        let Some(entry) = self.task(task) else {
+            return;
+        };
+        match entry.phase() {
+            TaskPhase::Waiting => self.settle(context, task, TaskOutcome::Cancelled, None, None),
+            TaskPhase::Starting | TaskPhase::Running => self.order_stop(task),
+            TaskPhase::Intending | TaskPhase::Doubtful | TaskPhase::Settled => {}
+        }
+    }
+
+    fn find_answer(
+        &self,
+        context: &StepContext<'_>,
+        work: &WorkId,
+        team: &TeamName,
+        index: u32,
+    ) -> Result<WorkAnswer, Refusal> {
+        let entry = self.find_job(work, team)?;
+        let Some(task) = entry.tasks.get(index as usize) else {
+            let detail = format!("job {work} has {} tasks", entry.accepted.tasks);
+            return Err(Refusal::unknown(RefusalCode::UnknownWork, detail));
+        };
+        match (task.outcome, &task.answer) {
+            (_, Some(answer)) => Ok(WorkAnswer::Inline(answer.clone())),
+            (None, None) => Err(Refusal::unknown(
+                RefusalCode::NotFinished,
+                "the task has not ended",
+            )),
+            (Some(TaskOutcome::Completed), None) => {
+                let ticket = self.ticket(context, &entry.task_id(index), true);
+                let gone = Refusal::done(RefusalCode::AnswerGone, "the answer is no longer kept");
+                ticket.map(WorkAnswer::AtUpstream).ok_or(gone)
+            }
+            (Some(TaskOutcome::Failed), None) => {
+                Err(Refusal::done(RefusalCode::TaskFailed, "the task failed"))
+            }
+            (Some(TaskOutcome::Cancelled), None) => Err(Refusal::unknown(
+                RefusalCode::Cancelled,
+                "the job was cancelled",
+            )),
+            (Some(TaskOutcome::Unknown), None) => Err(Refusal::unknown(
+                RefusalCode::OutcomeUnknown,
+                "the task may or may not have run",
+            )),
+            (Some(TaskOutcome::NotRun), None) => Err(Refusal::not_run(
+                RefusalCode::Cancelled,
+                "the task did not run",
+            )),
+        }
+    }
+
+    /// Takes note of an attempt whose answer an entry host has received whole.
+    fn take_report(&mut self, context: &mut StepContext<'_>, report: &AttemptReport) {
+        if self.attempt_task(&report.attempt).is_none() {
+            return;
+        }
+        let outcome = match report.end {
+            AttemptEnd::Completed => TaskOutcome::Completed,
+            AttemptEnd::Failed => TaskOutcome::Failed,
+        };
+        self.end_attempt(context, &report.attempt, outcome, None);
+    }
+
+    /// Ends the present attempt of a task and the task with it.
+    pub(super) fn end_attempt(
+        &mut self,
+        context: &mut StepContext<'_>,
+        attempt: &AttemptId,
+        outcome: TaskOutcome,
+        answer: Option<Arc<str>>,
+    ) {
+        let Some(upstream) = self.attempt_upstream(attempt) else {
+            return;
+        };
+        self.unbook(&upstream, attempt);
+        self.settle(
+            context,
+            &attempt.task,
+            outcome,
+            answer,
+            Some(PlacedAttempt {
+                upstream,
+                attempt: attempt.clone(),
+            }),
+        );
+    }
+}
+
+/// Refuses work while nothing may start.
+fn check_starts(context: &StepContext<'_>) -> Result<(), Refusal> {
+    if !context.config.in_service(&context.identity.domain) {
+        let detail = format!(
+            "failure domain {} is out of service",
+            context.identity.domain
+        );
+        return Err(Refusal::not_run(RefusalCode::DomainOut, detail));
+    }
+    if !context.may_start {
+        let refusal = Refusal::not_run(
+            RefusalCode::StartsSuspended,
+            "the owner may start nothing at present",
+        );
+        return Err(refusal.retry_after(RETRY_AFTER_MS));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/shard/owner/dispatch.rs
@@ -0,0 +1,315 @@
+//! Order of work and its places.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use lagoonnotch_wire::upstream::{StartCall, StartTicket};
+
+use crate::document::WorkClass;
+use crate::journal::JournalRecord;
+use crate::model::{AttemptId, ResourceSize, TaskId, TeamName, UpstreamName, WorkId};
+use crate::queue::WaitingEntry;
+use crate::shard::effect_desk::CallPurpose;
+use crate::shard::messages::{AttemptTicket, ShardReply, UpstreamCall};
+use crate::shard::owner::commits::FollowUp;
+use crate::shard::owner::upstream_entry::Booking;
+use crate::shard::owner::work_entry::{TaskAttempt, TaskEvent, TaskPhase};
+use crate::shard::owner::{OwnerState, StepContext};
+
+/// Most entries that one step places; the rest waits for the next step.
+const MAX_PLACED_PER_STEP: usize = 256;
+
+/// Entries of one team that are tried before the team is passed over.
+const BACKFILL_DEPTH: usize = 16;
+
+impl OwnerState {
+    /// Places waiting tasks: the most urgent class first, and within a class the team that is
+    /// furthest below its share.
+    pub(super) fn dispatch(&mut self, context: &mut StepContext<'_>) {
+        self.dirty = false;
+        let mut placed = 0;
+        for class in WorkClass::ALL {
+            let mut passed_over = BTreeSet::new();
+            while let Some(team) = self.neediest_team(context, class, &passed_over) {
+                if placed >= MAX_PLACED_PER_STEP {
+                    self.dirty = true;
+                    return;
+                }
+                if self.place_first(context, class, &team) {
+                    placed += 1;
+                } else {
+                    passed_over.insert(team);
+                }
+            }
+        }
+    }
+
+    /// Returns the waiting team with the smallest weighted dominant share.
+    fn neediest_team(
+        &self,
+        context: &StepContext<'_>,
+        class: WorkClass,
+        passed_over: &BTreeSet<TeamName>,
+    ) -> Option<TeamName> {
+        let waiting = self
+            .queue
+            .teams(class)
+            .filter(|team| !passed_over.contains(*team));
+        let total = self.capacity();
+        let least = waiting.min_by(|left, right| {
+            let left = self.weighted_share(context, left, &total);
+            left.total_cmp(&self.weighted_share(context, right, &total))
+        });
+        least.cloned()
+    }
+
+    fn weighted_share(
+        &self,
+        context: &StepContext<'_>,
+        team: &TeamName,
+        total: &ResourceSize,
+    ) -> f64 {
+        let here = self
+            .teams
+            .get(team)
+            .map_or(ResourceSize::ZERO, |entry| entry.running);
+        let elsewhere = context
+            .peers
+            .team_totals
+            .get(team)
+            .copied()
+            .unwrap_or_default();
+        let weight = context
+            .config
+            .teams
+            .get(team)
+            .map_or(1, |policy| policy.share);
+        (here + elsewhere).dominant_share(total) / f64::from(weight.max(1))
+    }
+
+    fn capacity(&self) -> ResourceSize {
+        self.upstreams
+            .values()
+            .fold(ResourceSize::ZERO, |sum, entry| sum + entry.capacity)
+    }
+
+    /// Places the first entry of a team that fits; returns whether one did.
+    fn place_first(
+        &mut self,
+        context: &mut StepContext<'_>,
+        class: WorkClass,
+        team: &TeamName,
+    ) -> bool {
+        let entries = self.queue.first(class, team, BACKFILL_DEPTH);
+        entries
+            .iter()
+            .any(|entry| self.place_entry(context, team, entry))
+    }
+
+    fn place_entry(
+        &mut self,
+        context: &mut StepContext<'_>,
+        team: &TeamName,
+        entry: &WaitingEntry,
+    ) -> bool {
+        let needed = entry.size.times(u64::from(entry.count));
+        let usage = self.teams.entry(team.clone()).or_default();
+        if !needed.fits(&usage.room()) {
+            usage.wanted = usage.wanted.max(&(usage.running + needed));
+            return false;
+        }
+        let Some(places) = self.find_places(&entry.size, entry.count) else {
+            return false;
+        };
+        self.queue.remove(&entry.task);
+        for (offset, upstream) in (0..entry.count).zip(places) {
+            let index = entry.task.index + offset;
+            let task = TaskId {
+                work: entry.task.work.clone(),
+                index,
+            };
+            self.place_task(context, &task, &upstream);
+        }
+        true
+    }
+
+    /// Returns a place for each of a number of equal tasks, or none if they don't all fit.
+    fn find_places(&mut self, size: &ResourceSize, count: u32) -> Option<Vec<UpstreamName>> {
+        let mut places = Vec::new();
+        for _ in 0..count {
+            let Some(upstream) = self.index.best_fit(size) else {
+                break;
+            };
+            let taken = places.iter().filter(|place| **place == upstream).count() as u64 + 1;
+            let free = self.upstreams[&upstream]
+                .free()
+                .saturating_sub(&size.times(taken));
+            self.index.set(&upstream, free);
+            places.push(upstream);
+        }
+        for upstream in &places {
+            self.reindex(upstream);
+        }
+        (places.len() == count as usize).then_some(places)
+    }
+
+    /// Gives a task a place; a start whose intent must last waits for its commit.
+    fn place_task(
+        &mut self,
+        context: &mut StepContext<'_>,
+        task: &TaskId,
+        upstream: &UpstreamName,
+    ) {
+        let Some(fence) = self
+            .upstreams
+            .get(upstream)
+            .and_then(|entry| entry.fence.clone())
+        else {
+            return;
+        };
+        self.attempts += 1;
+        let attempt = AttemptId {
+            task: task.clone(),
+            number: AttemptId::number(self.epoch, self.attempts),
+        };
+        let Some(work) = self.works.get_mut(&task.work) else {
+            return;
+        };
+        let journaled = work.journaled();
+        let booking = Booking {
+            size: work.accepted.size,
+            team: work.accepted.team.clone(),
+            journaled,
+        };
+        let accepted = (journaled && !work.recorded).then(|| work.accepted.clone());
+        work.recorded |= journaled;
+        if let Some(entry) = work.task(task.index) {
+            entry.advance(TaskEvent::Place);
+            entry.attempt = Some(TaskAttempt {
+                number: attempt.number,
+                upstream: upstream.clone(),
+                incarnation: Arc::clone(&fence.incarnation),
+                fence: fence.number,
+                permitted_ms: context.now_ms,
+                revoking: false,
+            });
+        }
+        self.book(upstream, &attempt, booking);
+        if let Some(work) = accepted {
+            self.append(JournalRecord::Accepted { work }, None);
+        }
+        if journaled {
+            let record = JournalRecord::Intended {
+                attempt: attempt.clone(),
+                upstream: upstream.clone(),
+                incarnation: fence.incarnation,
+            };
+            self.append(record, Some(FollowUp::Permit(attempt)));
+        } else {
+            self.start_attempt(context, &attempt);
+        }
+    }
+
+    /// Sends a job's task to its upstream.
+    pub(super) fn send_start(&mut self, context: &mut StepContext<'_>, attempt: &AttemptId) {
+        let Some(place) = self.ticket(context, &attempt.task, false) else {
+            return;
+        };
+        let Some(work) = self.works.get(&attempt.task.work) else {
+            return;
+        };
+        let payload = work.accepted.payload.to_string();
+        let Some(upstream) = self.attempt_upstream(attempt) else {
+            return;
+        };
+        let request = UpstreamCall::Start(StartCall {
+            ticket: place.ticket,
+            payload,
+        });
+        let purpose = CallPurpose::Start {
+            upstream,
+            attempt: attempt.clone(),
+        };
+        context.desk.call_upstream(&place.address, request, purpose);
+    }
+
+    /// Hands the ticket of a quick request to the first caller; the others fetch the same answer.
+    pub(super) fn issue_tickets(&mut self, context: &mut StepContext<'_>, work: &WorkId) {
+        let task = TaskId {
+            work: work.clone(),
+            index: 0,
+        };
+        let first = self.ticket(context, &task, false);
+        let Some(entry) = self.works.get_mut(work) else {
+            return;
+        };
+        let Some(mut ticket) = first else {
+            return;
+        };
+        for command in entry.waiters.drain(..) {
+            context
+                .desk
+                .reply(command, ShardReply::Ticket(ticket.clone()));
+            ticket.started = true;
+        }
+    }
+
+    /// Returns the ticket of a task's present attempt.
+    pub(super) fn ticket(
+        &self,
+        context: &StepContext<'_>,
+        task: &TaskId,
+        started: bool,
+    ) -> Option<AttemptTicket> {
+        let work = self.works.get(&task.work)?;
+        let entry = work.tasks.get(task.index as usize)?;
+        let place = entry.attempt.as_ref()?;
+        let upstream = self.upstreams.get(&place.upstream)?;
+        let ticket = StartTicket {
+            shard: context.identity.shard.to_string(),
+            epoch: self.epoch,
+            fence: place.fence,
+            incarnation: place.incarnation.to_string(),
+            task: task.to_string(),
+            attempt: place.number,
+            team: work.accepted.team.to_string(),
+            size: work.accepted.size.into(),
+            lease_ms: context.timing.task_lease_ms,
+        };
+        Some(AttemptTicket {
+            address: Arc::clone(&upstream.address),
+            ticket,
+            started,
+        })
+    }
+
+    /// Withdraws the tickets that were not used in time.
+    pub(super) fn revoke_unused_tickets(&mut self, context: &mut StepContext<'_>) {
+        let oldest_ms = context.now_ms.saturating_sub(context.timing.ticket_ms);
+        let mut unused = Vec::new();
+        for entry in self.upstreams.values().filter(|entry| !entry.silent()) {
+            let tasks = entry.bookings.keys().map(|attempt| &attempt.task);
+            unused.extend(
+                tasks
+                    .filter(|task| self.is_unused(task, oldest_ms))
+                    .cloned(),
+            );
+        }
+        for task in unused {
+            self.revoke(context, &task);
+        }
+    }
+
+    fn is_unused(&self, task: &TaskId, oldest_ms: u64) -> bool {
+        let work = self.works.get(&task.work);
+        let entry = work.and_then(|work| work.tasks.get(task.index as usize));
+        entry.is_some_and(|entry| {
+            let starting = entry.phase() == TaskPhase::Starting;
+            starting
+                && entry
+                    .attempt
+                    .as_ref()
+                    .is_some_and(|place| place.permitted_ms <= oldest_ms)
+        })
+    }
+}
--- /dev/null
+++ b/crates/lagoonnotch/src/shard/owner/snapshots.rs
@@ -0,0 +1,205 @@
+//! Snapshots of the ledger, and deletion of what they replace.
+
+use std::collections::VecDeque;
+
+use lagoonnotch_wire::store::{StoreCall, StoreEntry, StoreReply};
+
+use crate::event::EventCode;
+use crate::journal::{SnapshotHead, segment_number, split_snapshot};
+use crate::shard::effect_desk::CallPurpose;
+use crate::shard::messages::CallFault;
+use crate::shard::owner::{OwnerState, StepContext};
+
+/// Newest segments that stay after a snapshot, so that the next keys of recent owners stay taken.
+const KEPT_SEGMENTS: u64 = 64;
+
+/// A key and the revision under which it may be deleted.
+#[derive(Clone, Debug)]
+struct StoredKey {
+    key: String,
+    revision: u64,
+}
+
+/// A call of the snapshot in progress.
+#[derive(Clone, Debug)]
+enum SnapshotCall {
+    /// Writes one part.
+    Part { key: String, value: String },
+    /// Names the parts as the newest snapshot.
+    Head { head: SnapshotHead },
+    /// Deletes a replaced key.
+    Delete(StoredKey),
+}
+
+/// Progress of snapshots.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SnapshotState {
+    /// Segments that are in the store, oldest first.
+    segments: VecDeque<StoredKey>,
+    /// Parts of the newest snapshot that this owner wrote.
+    parts: Vec<StoredKey>,
+    head: Option<SnapshotHead>,
+    head_revision: u64,
+    calls: VecDeque<SnapshotCall>,
+    pending: Option<SnapshotCall>,
+    retry_ms: u64,
+}
+
+impl SnapshotState {
+    /// Takes over what a take-over has read.
+    pub fn new(segments: Vec<StoreEntry>, head: Option<SnapshotHead>, head_revision: u64) -> Self {
+        let stored = |entry: StoreEntry| StoredKey {
+            key: entry.key,
+            revision: entry.revision,
+        };
+        let segments = segments.into_iter().map(stored).collect();
+        Self {
+            segments,
+            head,
+            head_revision,
+            ..Self::default()
+        }
+    }
+
+    /// Takes note of a written segment.
+    pub fn add_segment(&mut self, key: String, revision: u64) {
+        self.segments.push_back(StoredKey { key, revision });
+    }
+
+    fn is_busy(&self) -> bool {
+        self.pending.is_some() || !self.calls.is_empty()
+    }
+}
+
+impl OwnerState {
+    /// Begins a snapshot when enough segments have come together, and makes its next call.
+    pub(super) fn tend_snapshot(&mut self, context: &mut StepContext<'_>) {
+        let through = self.journal.committed_through();
+        let covered = self.snapshot.head.map_or(0, |head| head.through);
+        if !self.snapshot.is_busy() && through >= covered + context.timing.snapshot_segments {
+            self.begin_snapshot(context, through);
+        }
+        if self.snapshot.pending.is_none() && context.now_ms >= self.snapshot.retry_ms {
+            self.next_snapshot_call(context);
+        }
+    }
+
+    fn begin_snapshot(&mut self, context: &StepContext<'_>, through: u64) {
+        let parts = split_snapshot(&self.ledger);
+        let head = SnapshotHead {
+            through,
+            parts: parts.len(),
+        };
+        for (index, value) in parts.into_iter().enumerate() {
+            let key = context.keys.snapshot_part(through, index);
+            self.snapshot
+                .calls
+                .push_back(SnapshotCall::Part { key, value });
+        }
+        self.snapshot.calls.push_back(SnapshotCall::Head { head });
+    }
+
+    fn next_snapshot_call(&mut self, context: &mut StepContext<'_>) {
+        let Some(call) = self.snapshot.calls.pop_front() else {
+            return;
+        };
+        let request = match &call {
+            SnapshotCall::Part { key, value } => StoreCall::Put {
+                key: key.clone(),
+                value: value.clone(),
+                expect: 0,
+                lease: None,
+            },
+            SnapshotCall::Head { head } => StoreCall::Put {
+                key: context.keys.snapshot_head(),
+                value: serde_json::to_string(head).expect("head has a JSON form"),
+                expect: self.snapshot.head_revision,
+                lease: None,
+            },
+            SnapshotCall::Delete(stored) => StoreCall::Delete {
+                key: stored.key.clone(),
+                expect: stored.revision,
+            },
+        };
+        self.snapshot.pending = Some(call);
+        context.desk.call_store(request, CallPurpose::Snapshot);
+    }
+
+    /// Takes the result of a snapshot's call.
+    pub(super) fn snapshot_result(
+        &mut self,
+        context: &mut StepContext<'_>,
+        result: &Result<StoreReply, CallFault>,
+    ) {
+        let Some(call) = self.snapshot.pending.take() else {
+            return;
+        };
+        let revision = match result {
+            Ok(StoreReply::Written { revision }) => *revision,
+            Ok(StoreReply::Conflict { entry: Some(entry) }) if same_value(&call, &entry.value) => {
+                entry.revision
+            }
+            Ok(StoreReply::Conflict { entry: None }) if matches!(call, SnapshotCall::Delete(_)) => {
+                0
+            }
+            Ok(_) => {
+                self.deposed = Some("another owner wrote a snapshot".to_owned());
+                return;
+            }
+            Err(CallFault) => {
+                self.snapshot.retry_ms = context.now_ms + context.timing.store_retry_ms;
+                self.snapshot.calls.push_front(call);
+                return;
+            }
+        };
+        match call {
+            SnapshotCall::Part { key, .. } => self.snapshot.parts.push(StoredKey { key, revision }),
+            SnapshotCall::Head { head } => self.snapshot_complete(context, head, revision),
+            SnapshotCall::Delete(_) => {}
+        }
+    }
+
+    /// Deletes what a complete snapshot replaces.
+    fn snapshot_complete(
+        &mut self,
+        context: &mut StepContext<'_>,
+        head: SnapshotHead,
+        revision: u64,
+    ) {
+        context.desk.event(
+            EventCode::SnapshotWritten,
+            format!("through segment {}", head.through),
+        );
+        self.snapshot.head = Some(head);
+        self.snapshot.head_revision = revision;
+        let prefix = context.keys.snapshot_parts(head.through);
+        let (kept, old): (Vec<_>, Vec<_>) = std::mem::take(&mut self.snapshot.parts)
+            .into_iter()
+            .partition(|part| part.key.starts_with(&prefix));
+        self.snapshot.parts = kept;
+        self.snapshot
+            .calls
+            .extend(old.into_iter().map(SnapshotCall::Delete));
+        let replaced = |stored: &StoredKey| {
+            segment_number(&stored.key).is_some_and(|number| number + KEPT_SEGMENTS <= head.through)
+        };
+        while let Some(segment) = self
+            .snapshot
+            .segments
+            .pop_front_if(|stored| replaced(stored))
+        {
+            self.snapshot.calls.push_back(SnapshotCall::Delete(segment));
+        }
+    }
+}
+
+/// Tells whether the found value is the one that the call was to write.
+fn same_value(call: &SnapshotCall, found: &str) -> bool {
+    match call {
+        SnapshotCall::Part { value, .. } => value == found,
+        SnapshotCall::Head { head } => {
+            serde_json::from_str(found).is_ok_and(|found: SnapshotHead| found == *head)
+        }
+        SnapshotCall::Delete(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,59 @@
+//! Serves the stand-ins of one deployment.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use eyre::{Result, bail, eyre};
+use getopts::Options;
+use lagoonnotch_standin::{CellProfile, PlatformCell};
+
+/// Address of the store unless another is given.
+const DEFAULT_STORE_ADDRESS: &str = "127.0.0.1:7000";
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match serve_platform() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lagoonnotch-standin: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+#[tokio::main]
+async fn serve_platform() -> Result<()> {
+    let mut options = Options::new();
+    options.optopt("", "deployment", "bronach or deepmala", "NAME");
+    options.optopt(
+        "",
+        "store",
+        "address of the store and the host list",
+        "IP:PORT",
+    );
+    options.optflag("h", "help", "print this help");
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        print!(
+            "{}",
+            options.usage("Usage: lagoonnotch-standin --deployment NAME [--store IP:PORT]")
+        );
+        return Ok(());
+    }
+    let Some(name) = matches.opt_str("deployment") else {
+        bail!("--deployment is missing: bronach or deepmala");
+    };
+    let profile = CellProfile::by_name(&name)
+        .ok_or_else(|| eyre!("no deployment {name}: bronach or deepmala"))?;
+    let address: SocketAddr = matches
+        .opt_str("store")
+        .unwrap_or_else(|| DEFAULT_STORE_ADDRESS.to_owned())
+        .parse()?;
+    let cell = PlatformCell::start(&profile, address).await?;
+    println!("store and host list on {}", cell.store_address);
+    for host in &cell.hosts {
+        println!("{} {} {}", host.name, host.failure_domain, host.address);
+    }
+    cell.wait().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/upstream/mod.rs
@@ -0,0 +1,9 @@
+//! A host that runs tasks under leases.
+
+mod model;
+mod record;
+mod server;
+
+pub use model::{TaskAnswer, UpstreamModel};
+pub use record::RunRecord;
+pub use server::UpstreamServer;
