Check the promises of ownership on random histories in virtual time

Cause: nothing showed that the promises hold under faults. Change: property tests that run several owners, one store model and four upstream models through crashes, pauses, cuts, outages, lost answers, limits lowered and domains taken out; the upstreams' records judge. Three faults were found and mended: a task that started between a renewal and its answer was taken for ended (an upstream was overcommitted); a gang that can never fit waited for ever instead of being refused; two shards that each held part of a team's limit waited for each other. Conclusion: an answer proves the end only of attempts that ran when the question was asked; shards that lack allotment yield to the longer wait.

--- a/crates/lagoonnotch/src/model/resource.rs
+++ b/crates/lagoonnotch/src/model/resource.rs
@@ -72,6 +72,16 @@
         self.map(|amount| amount / divisor.max(1))
     }
 
+    /// Returns how many times a size fits into this amount.
+    #[must_use]
+    pub fn count(&self, size: &Self) -> u64 {
+        let times = |room: u64, needed: u64| room.checked_div(needed).unwrap_or(u64::MAX);
+        let cpu = times(self.cpu_milli, size.cpu_milli);
+        let memory = times(self.memory_mib, size.memory_mib);
+        let accelerators = times(self.accelerators, size.accelerators);
+        cpu.min(memory).min(accelerators)
+    }
+
     /// Returns the largest part that this amount is of a total, in any resource.
     #[must_use]
     pub fn dominant_share(&self, total: &Self) -> f64 {
--- a/crates/lagoonnotch/src/peer/member_table.rs
+++ b/crates/lagoonnotch/src/peer/member_table.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use crate::model::{HostName, ShardName};
-use crate::peer::{Heartbeat, HeartbeatReply, MemberRecord, MemberState, ShardPromise};
-use crate::shard::{OwnerSighting, PeerView};
+use crate::peer::{Heartbeat, HeartbeatReply, MemberRecord, MemberState, OwnedShard, ShardPromise};
+use crate::shard::{AllotmentWant, OwnerSighting, PeerView};
 
 /// Times of membership, all in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -259,21 +259,18 @@
             stale_since_ms: self.stale_since_ms(now_ms),
             ..PeerView::default()
         };
-        for entry in self
+        let fresh = self
             .members
             .values()
-            .filter(|entry| self.is_fresh(now_ms, entry))
-        {
-            for owned in entry
+            .filter(|entry| self.is_fresh(now_ms, entry));
+        for entry in fresh {
+            let others = entry
                 .record
                 .shards
                 .iter()
-                .filter(|owned| owned.shard != *shard)
-            {
-                for (team, running) in &owned.summary.running {
-                    *view.team_totals.entry(team.clone()).or_default() += *running;
-                }
-                view.wanted.extend(owned.summary.wanted.iter().cloned());
+                .filter(|owned| owned.shard != *shard);
+            for owned in others {
+                add_summary(&mut view, entry.heard_ms, owned);
             }
         }
         view
@@ -394,3 +391,23 @@
         now_ms <= self.domain_watched_ms(now_ms) + self.timing.fresh_ms
     }
 }
+
+/// Adds what another shard was last heard to have running and to want.
+fn add_summary(view: &mut PeerView, heard_ms: u64, owned: &OwnedShard) {
+    for (team, running) in &owned.summary.running {
+        *view.team_totals.entry(team.clone()).or_default() += *running;
+    }
+    for (team, wanted_ms) in &owned.summary.wanted_ms {
+        let want = AllotmentWant {
+            shard: owned.shard.clone(),
+            since_ms: heard_ms.saturating_sub(*wanted_ms),
+        };
+        let oldest = view
+            .wanted
+            .get(team)
+            .is_none_or(|known| want.since_ms < known.since_ms);
+        if oldest {
+            view.wanted.insert(team.clone(), want);
+        }
+    }
+}
--- a/crates/lagoonnotch/src/shard/effect_desk.rs
+++ b/crates/lagoonnotch/src/shard/effect_desk.rs
@@ -55,11 +55,11 @@
         upstream: UpstreamName,
         sent_ms: u64,
     },
-    /// The owner renews an upstream.
+    /// The owner renews an upstream at which the attempts ran when the call was made.
     Renew {
         upstream: UpstreamName,
         fence: u64,
-        renewed: Vec<AttemptId>,
+        running: Vec<AttemptId>,
     },
     /// The owner starts a task.
     Start {
--- a/crates/lagoonnotch/src/shard/machine.rs
+++ b/crates/lagoonnotch/src/shard/machine.rs
@@ -117,7 +117,9 @@
     #[must_use]
     pub fn summary(&self, now_ms: u64) -> Option<ShardSummary> {
         let starting = self.phase == OwnershipPhase::Owning && self.starts_permitted(now_ms);
-        self.owner.as_ref().map(|owner| owner.summary(starting))
+        self.owner
+            .as_ref()
+            .map(|owner| owner.summary(now_ms, starting))
     }
 
     /// Returns the owner's state for checks by tests and benchmarks.
--- a/crates/lagoonnotch/src/shard/messages.rs
+++ b/crates/lagoonnotch/src/shard/messages.rs
@@ -1,6 +1,6 @@
 //! Inputs, effects and commands of a shard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use lagoonnotch_wire::caller::{JobStatus, WorkOutcome};
@@ -14,7 +14,7 @@
 use crate::document::ApprovedConfig;
 use crate::event::EventCode;
 use crate::journal::AcceptedWork;
-use crate::model::{AttemptId, HostName, ResourceSize, TeamName, WorkId, WorkloadName};
+use crate::model::{AttemptId, HostName, ResourceSize, ShardName, TeamName, WorkId, WorkloadName};
 
 /// Identifies a command until it is answered.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -136,6 +136,15 @@
     pub heard_ms: u64,
 }
 
+/// Work of another shard that waits for lack of allotment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AllotmentWant {
+    /// The other shard.
+    pub shard: ShardName,
+    /// When the work began to wait, in milliseconds of this host's clock.
+    pub since_ms: u64,
+}
+
 /// What a shard knows of the other entry hosts.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PeerView {
@@ -149,8 +158,8 @@
     pub stale_since_ms: Option<u64>,
     /// What the other shards have running for each team.
     pub team_totals: BTreeMap<TeamName, ResourceSize>,
-    /// Teams for which other shards lack allotment.
-    pub wanted: BTreeSet<TeamName>,
+    /// Teams for which other shards lack allotment, with the longest wait.
+    pub wanted: BTreeMap<TeamName, AllotmentWant>,
     /// Number of shards in the fleet.
     pub shards: u64,
 }
@@ -378,6 +387,6 @@
     pub starting: bool,
     /// What runs for each team.
     pub running: BTreeMap<TeamName, ResourceSize>,
-    /// Teams that lack allotment.
-    pub wanted: BTreeSet<TeamName>,
+    /// Time for which work has waited for lack of allotment, by team, in milliseconds.
+    pub wanted_ms: BTreeMap<TeamName, u64>,
 }
--- a/crates/lagoonnotch/src/shard/mod.rs
+++ b/crates/lagoonnotch/src/shard/mod.rs
@@ -14,9 +14,9 @@
 
 pub use machine::{ShardIdentity, ShardMachine};
 pub use messages::{
-    AttemptEnd, AttemptReport, AttemptTicket, CallFault, CallId, CommandId, OwnerSighting,
-    PeerView, PlaceRequest, Refusal, RefusalCode, ShardCommand, ShardEffect, ShardInput,
-    ShardReply, ShardSummary, UpstreamCall, UpstreamReply, WorkAnswer,
+    AllotmentWant, AttemptEnd, AttemptReport, AttemptTicket, CallFault, CallId, CommandId,
+    OwnerSighting, PeerView, PlaceRequest, Refusal, RefusalCode, ShardCommand, ShardEffect,
+    ShardInput, ShardReply, ShardSummary, UpstreamCall, UpstreamReply, WorkAnswer,
 };
 pub use owner::{TaskEvent, TaskPhase, task_chart};
 pub use phase::{OwnershipEvent, OwnershipPhase, ownership_chart};
--- a/crates/lagoonnotch/src/shard/owner/allotments.rs
+++ b/crates/lagoonnotch/src/shard/owner/allotments.rs
@@ -7,9 +7,9 @@
 
 use crate::event::EventCode;
 use crate::limit::LimitRecord;
-use crate::model::{AttemptId, ResourceSize, TeamName, UpstreamName};
+use crate::model::{AttemptId, ResourceSize, ShardName, TeamName, UpstreamName};
 use crate::shard::effect_desk::CallPurpose;
-use crate::shard::messages::CallFault;
+use crate::shard::messages::{AllotmentWant, CallFault};
 use crate::shard::owner::team_entry::TeamEntry;
 use crate::shard::owner::{OwnerState, StepContext};
 
@@ -19,6 +19,9 @@
 /// Time between two calls about the record of one team, in milliseconds.
 const CALL_SPACING_MS: u64 = 100;
 
+/// Difference up to which two waits count as equally long, in milliseconds.
+const SAME_WAIT_MS: u64 = 2000;
+
 /// An approved limit and the revision that set it.
 #[derive(Clone, Copy, Debug)]
 struct TeamTarget {
@@ -47,7 +50,8 @@
         }
         let mut record = entry.record.clone();
         record.set_limit(target.limit, target.revision);
-        let kept = entry.kept(team, &record, context);
+        let want = context.peers.wanted.get(team);
+        let kept = entry.kept(&record, shard, want);
         entry.allotment = entry.allotment.min(&kept);
         let stopping = !entry.running.fits(&entry.allotment);
         if !stopping {
@@ -58,7 +62,8 @@
             entry.wanted = entry.wanted.max(&first);
         }
         let lacking = entry.wanted.saturating_sub(&entry.allotment);
-        if !stopping && lacking != ResourceSize::ZERO {
+        let yields = want.is_some_and(|want| entry.yields_to(shard, want));
+        if !stopping && !yields && lacking != ResourceSize::ZERO {
             record.grow(shard, &lacking);
         }
         record.confirm(shard, self.epoch);
@@ -222,22 +227,41 @@
 }
 
 impl TeamEntry {
-    /// Returns the most that the shard keeps: less under a lowered limit, and half of what is idle
-    /// while other shards lack allotment.
+    /// Returns the most that the shard keeps: less under a lowered limit, and less while another
+    /// shard lacks allotment.
+    ///
+    /// A shard that has enough gives half of what is idle. A shard that lacks allotment itself
+    /// gives everything idle to work that has waited longer, so that two shards which each hold a
+    /// part of what they need do not wait for each other.
     fn kept(
         &self,
-        team: &TeamName,
         record: &LimitRecord,
-        context: &StepContext<'_>,
+        shard: &ShardName,
+        want: Option<&AllotmentWant>,
     ) -> ResourceSize {
-        let lowered = record.lowered(&context.identity.shard);
+        let lowered = record.lowered(shard);
         let idle = self.allotment.saturating_sub(&self.running);
-        let needed = self.lacks() || record.unallotted() != ResourceSize::ZERO;
-        let asked = self.confirmed && !needed && context.peers.wanted.contains(team);
-        if asked {
-            lowered.min(&(self.running + idle.divided(2)))
+        match want {
+            Some(want) if self.yields_to(shard, want) => lowered.min(&self.running),
+            Some(_) if self.confirmed && !self.lacks() => {
+                lowered.min(&(self.running + idle.divided(2)))
+            }
+            _ => lowered,
+        }
+    }
+
+    /// Tells whether another shard's work goes before the work that lacks allotment here.
+    fn yields_to(&self, shard: &ShardName, want: &AllotmentWant) -> bool {
+        let Some(since_ms) = self
+            .wanted_since_ms
+            .filter(|_| self.confirmed && self.lacks())
+        else {
+            return false;
+        };
+        if since_ms.abs_diff(want.since_ms) <= SAME_WAIT_MS {
+            want.shard < *shard
         } else {
-            lowered
+            want.since_ms < since_ms
         }
     }
 }
--- a/crates/lagoonnotch/src/shard/owner/commands.rs
+++ b/crates/lagoonnotch/src/shard/owner/commands.rs
@@ -252,13 +252,13 @@
             let detail = format!("{needed:?} is beyond the limit of team {}", accepted.team);
             return Err(Refusal::not_run(RefusalCode::Impossible, detail));
         }
-        if !self
+        let places = self
             .upstreams
             .values()
-            .any(|entry| accepted.size.fits(&entry.capacity))
-        {
+            .map(|entry| entry.capacity.count(&accepted.size));
+        if places.sum::<u64>() < u64::from(together) {
             let detail = format!(
-                "no upstream of shard {} has {:?}",
+                "the upstreams of shard {} can't hold {together} tasks of {:?} at once",
                 context.identity.shard, accepted.size
             );
             return Err(Refusal::not_run(RefusalCode::Impossible, detail));
--- a/crates/lagoonnotch/src/shard/owner/dispatch.rs
+++ b/crates/lagoonnotch/src/shard/owner/dispatch.rs
@@ -27,6 +27,7 @@
     /// furthest below its share.
     pub(super) fn dispatch(&mut self, context: &mut StepContext<'_>) {
         self.dirty = false;
+        self.reset_wanted();
         let mut placed = 0;
         for class in WorkClass::ALL {
             let mut passed_over = BTreeSet::new();
@@ -44,6 +45,14 @@
         }
     }
 
+    /// Forgets which allotments were too small; the pass finds out again.
+    fn reset_wanted(&mut self) {
+        for entry in self.teams.values_mut().filter(|entry| entry.confirmed) {
+            entry.wanted = ResourceSize::ZERO;
+            entry.wanted_since_ms = None;
+        }
+    }
+
     /// Returns the waiting team with the smallest weighted dominant share.
     fn neediest_team(
         &self,
@@ -115,7 +124,7 @@
         let needed = entry.size.times(u64::from(entry.count));
         let usage = self.teams.entry(team.clone()).or_default();
         if !needed.fits(&usage.room()) {
-            usage.wanted = usage.wanted.max(&(usage.running + needed));
+            usage.want(&needed, entry.since_ms);
             return false;
         }
         let Some(places) = self.find_places(&entry.size, entry.count) else {
--- a/crates/lagoonnotch/src/shard/owner/reports.rs
+++ b/crates/lagoonnotch/src/shard/owner/reports.rs
@@ -44,15 +44,18 @@
     }
 
     /// Takes the reports of an answered renewal.
+    ///
+    /// An attempt that ran when the call was made and that the answer lacks has ended unseen. An
+    /// attempt that started meanwhile may rightly be missing.
     pub(super) fn take_reports(
         &mut self,
         context: &mut StepContext<'_>,
         name: &UpstreamName,
-        renewed: &[AttemptId],
+        running: &[AttemptId],
         reply: &RenewReply,
     ) {
         let known = self.inventoried(context, name, &reply.running, &reply.finished);
-        let vanished: Vec<AttemptId> = renewed
+        let vanished: Vec<AttemptId> = running
             .iter()
             .filter(|attempt| !known.contains(*attempt))
             .cloned()
--- a/crates/lagoonnotch/src/shard/owner/state.rs
+++ b/crates/lagoonnotch/src/shard/owner/state.rs
@@ -151,7 +151,7 @@
     }
 
     /// Returns what the other entry hosts are told.
-    pub(in crate::shard) fn summary(&self, starting: bool) -> ShardSummary {
+    pub(in crate::shard) fn summary(&self, now_ms: u64, starting: bool) -> ShardSummary {
         let capacity = self
             .upstreams
             .values()
@@ -168,7 +168,9 @@
                 .iter()
                 .map(|(team, entry)| (team.clone(), entry.running))
                 .collect(),
-            wanted: lacking.map(|(team, _)| team.clone()).collect(),
+            wanted_ms: lacking
+                .map(|(team, entry)| (team.clone(), entry.wanted_for_ms(now_ms)))
+                .collect(),
         }
     }
 
--- a/crates/lagoonnotch/src/shard/owner/team_entry.rs
+++ b/crates/lagoonnotch/src/shard/owner/team_entry.rs
@@ -20,6 +20,8 @@
     pub allotment: ResourceSize,
     /// Amount that is needed in all, when the allotment is too small.
     pub wanted: ResourceSize,
+    /// When the work that lacks allotment began to wait, in milliseconds.
+    pub wanted_since_ms: Option<u64>,
     /// Whether a call about the record is under way.
     pub busy: bool,
     /// When the next call about the record may be made.
@@ -43,6 +45,21 @@
         self.revision = revision;
     }
 
+    /// Takes note of waiting work that the allotment has no room for.
+    pub fn want(&mut self, needed: &ResourceSize, since_ms: u64) {
+        self.wanted = self.wanted.max(&(self.running + *needed));
+        let since = self
+            .wanted_since_ms
+            .map_or(since_ms, |known| known.min(since_ms));
+        self.wanted_since_ms = Some(since);
+    }
+
+    /// Returns for how long work has waited for lack of allotment, in milliseconds.
+    pub fn wanted_for_ms(&self, now_ms: u64) -> u64 {
+        self.wanted_since_ms
+            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// Tells whether more allotment is needed.
     pub fn lacks(&self) -> bool {
         !self.wanted.fits(&self.allotment)
--- a/crates/lagoonnotch/src/shard/owner/upstreams.rs
+++ b/crates/lagoonnotch/src/shard/owner/upstreams.rs
@@ -29,6 +29,7 @@
 
     fn contact(&mut self, context: &mut StepContext<'_>, name: &UpstreamName) {
         let epoch = self.epoch;
+        let running = self.running_attempts(name);
         let Some(entry) = self.upstreams.get_mut(name) else {
             return;
         };
@@ -39,7 +40,7 @@
         entry.call_pending = true;
         entry.next_contact_ms = context.now_ms + context.timing.renew_ms;
         let (request, purpose) = match entry.fence.clone() {
-            Some(fence) => renewal(context, epoch, &fence, entry),
+            Some(fence) => renewal(context, epoch, &fence, entry, running),
             None => fence_call(context, epoch, entry),
         };
         context
@@ -47,6 +48,18 @@
             .call_upstream(&Arc::clone(&entry.address), request, purpose);
     }
 
+    /// Returns the attempts that surely run at an upstream.
+    fn running_attempts(&self, name: &UpstreamName) -> Vec<AttemptId> {
+        let bookings = self.upstreams.get(name).map(|entry| &entry.bookings);
+        let attempts = bookings.into_iter().flat_map(|bookings| bookings.keys());
+        let running = attempts.filter(|attempt| {
+            let work = self.works.get(&attempt.task.work);
+            let task = work.and_then(|work| work.tasks.get(attempt.task.index as usize));
+            task.is_some_and(|task| task.phase() == TaskPhase::Running)
+        });
+        running.cloned().collect()
+    }
+
     /// Ends the attempts at an upstream once their leases have surely run out.
     fn give_up_lost(&mut self, context: &mut StepContext<'_>, name: &UpstreamName) {
         let Some(entry) = self.upstreams.get(name) else {
@@ -104,11 +117,11 @@
                 CallPurpose::Renew {
                     upstream,
                     fence,
-                    renewed,
+                    running,
                 },
                 Ok(UpstreamReply::Renew(reply)),
             ) => {
-                self.renewal_answered(context, upstream, *fence, renewed, &reply);
+                self.renewal_answered(context, upstream, *fence, running, &reply);
             }
             (CallPurpose::Start { upstream, attempt }, Ok(UpstreamReply::Start(reply))) => {
                 self.start_answered(context, upstream, attempt, reply.outcome);
@@ -217,7 +230,7 @@
         context: &mut StepContext<'_>,
         name: &UpstreamName,
         fence: u64,
-        renewed: &[AttemptId],
+        running: &[AttemptId],
         reply: &RenewReply,
     ) {
         let Some(entry) = self.upstreams.get_mut(name) else {
@@ -245,7 +258,7 @@
             self.reindex(name);
             self.dirty = true;
         }
-        self.take_reports(context, name, renewed, reply);
+        self.take_reports(context, name, running, reply);
     }
 
     fn start_answered(
@@ -375,14 +388,14 @@
     epoch: u64,
     fence: &FenceHold,
     entry: &mut UpstreamEntry,
+    running: Vec<AttemptId>,
 ) -> (UpstreamCall, CallPurpose) {
     let extends = !entry.silent();
-    let renewed: Vec<AttemptId> = entry
+    let renewed = entry
         .bookings
         .iter()
-        .filter(|(_, booking)| extends && (context.bound_held || booking.journaled))
-        .map(|(attempt, _)| attempt.clone())
-        .collect();
+        .filter(|(_, booking)| extends && (context.bound_held || booking.journaled));
+    let renew = renewed.map(|(attempt, _)| attempt_ref(attempt)).collect();
     if extends {
         entry.extended_ms = context.now_ms;
     }
@@ -396,14 +409,14 @@
             0
         },
         lease_ms: context.timing.task_lease_ms,
-        renew: renewed.iter().map(attempt_ref).collect(),
+        renew,
         acknowledge: std::mem::take(&mut entry.acknowledge),
         orders: std::mem::take(&mut entry.orders),
     };
     let purpose = CallPurpose::Renew {
         upstream: entry.name.clone(),
         fence: fence.number,
-        renewed,
+        running,
     };
     (UpstreamCall::Renew(call), purpose)
 }
--- /dev/null
+++ b/crates/lagoonnotch/tests/promises/history.rs
@@ -0,0 +1,179 @@
+//! Random histories.
+
+use lagoonnotch::document::WorkClass;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Number of histories unless `PROPTEST_CASES` says otherwise.
+const DEFAULT_CASES: u32 = 24;
+
+/// Seed of all histories.
+const SEED: u64 = 0x1a90_0e07;
+
+/// Time in which works are submitted and faults begin, in milliseconds.
+pub const ACTIVE_MS: u64 = 30_000;
+
+/// A fault of a history.
+#[derive(Clone, Debug)]
+pub struct Fault {
+    pub at_ms: u64,
+    pub for_ms: u64,
+    pub kind: FaultKind,
+}
+
+/// What goes wrong, and where.
+#[derive(Clone, Debug)]
+pub enum FaultKind {
+    /// A host dies and comes back as a new run.
+    Crash(usize),
+    /// A host does nothing, and then goes on as if no time had passed.
+    Pause(usize),
+    /// A host shuts down gracefully and comes back as a new run.
+    Restart(usize),
+    /// The store does not answer.
+    StoreDown,
+    /// A host and the store can't reach each other.
+    StoreCut(usize),
+    /// A host and an upstream can't reach each other.
+    UpstreamCut(usize, usize),
+    /// Two hosts can't reach each other.
+    PeerCut(usize, usize),
+    /// An upstream restarts and forgets its tasks.
+    UpstreamRestart(usize),
+    /// An upstream is down and then comes back without its tasks.
+    UpstreamDown(usize),
+    /// The platform lists an upstream as leaving.
+    Leaving(usize),
+    /// The operators take the failure domain out.
+    DomainOut,
+    /// The operators halve the limit of a team.
+    LimitLowered,
+}
+
+/// A work of a history.
+#[derive(Clone, Debug)]
+pub struct PlannedWork {
+    pub at_ms: u64,
+    pub class: WorkClass,
+    pub quick: bool,
+    pub idempotent: bool,
+    pub team: usize,
+    pub tasks: u32,
+    pub cores: u64,
+    pub run_ms: u64,
+    /// When to cancel the work, after its submission.
+    pub cancel_after_ms: Option<u64>,
+}
+
+/// A whole history.
+#[derive(Clone, Debug)]
+pub struct History {
+    /// Seed of message delays and losses.
+    pub seed: u64,
+    /// Chance that an answer of the store is lost, in percent.
+    pub lost_answers: u32,
+    /// Longest delay of a message, in milliseconds.
+    pub delay_ms: u64,
+    pub faults: Vec<Fault>,
+    pub works: Vec<PlannedWork>,
+}
+
+/// Returns the settings of every property test.
+pub fn config() -> ProptestConfig {
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(DEFAULT_CASES),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        max_shrink_iters: 400,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Returns histories with any faults.
+pub fn histories() -> impl Strategy<Value = History> {
+    histories_of(fault_kinds().boxed(), 8)
+}
+
+/// Returns histories with up to a number of faults of the given kinds.
+pub fn histories_of(
+    kinds: BoxedStrategy<FaultKind>,
+    most: usize,
+) -> impl Strategy<Value = History> {
+    let fault = (0..ACTIVE_MS, 200..12_000_u64, kinds);
+    let fault = fault.prop_map(|(at_ms, for_ms, kind)| Fault {
+        at_ms,
+        for_ms,
+        kind,
+    });
+    let header = (
+        any::<u64>(),
+        prop_oneof![Just(0), Just(10)],
+        prop_oneof![Just(5_u64), Just(300)],
+    );
+    (header, vec(fault, 0..=most), vec(works(), 1..40)).prop_map(|(header, faults, works)| {
+        let (seed, lost_answers, delay_ms) = header;
+        History {
+            seed,
+            lost_answers,
+            delay_ms,
+            faults,
+            works,
+        }
+    })
+}
+
+fn fault_kinds() -> impl Strategy<Value = FaultKind> {
+    prop_oneof![
+        3 => (0..3_usize).prop_map(FaultKind::Crash),
+        3 => (0..3_usize).prop_map(FaultKind::Pause),
+        1 => (0..3_usize).prop_map(FaultKind::Restart),
+        2 => Just(FaultKind::StoreDown),
+        2 => (0..3_usize).prop_map(FaultKind::StoreCut),
+        3 => (0..3_usize, 0..4_usize).prop_map(|(host, upstream)| FaultKind::UpstreamCut(host, upstream)),
+        2 => (0..3_usize, 0..3_usize).prop_map(|(one, other)| FaultKind::PeerCut(one, other)),
+        1 => (0..4_usize).prop_map(FaultKind::UpstreamRestart),
+        1 => (0..4_usize).prop_map(FaultKind::UpstreamDown),
+        1 => (0..4_usize).prop_map(FaultKind::Leaving),
+        1 => Just(FaultKind::DomainOut),
+        1 => Just(FaultKind::LimitLowered),
+    ]
+}
+
+fn works() -> impl Strategy<Value = PlannedWork> {
+    let class = prop_oneof![
+        4 => Just(WorkClass::Urgent),
+        2 => Just(WorkClass::Batch),
+        1 => Just(WorkClass::Gang),
+        1 => Just(WorkClass::Service),
+    ];
+    let shape = (
+        any::<bool>(),
+        any::<bool>(),
+        0..2_usize,
+        1..4_u32,
+        1..6_u64,
+        20..4000_u64,
+    );
+    let cancel = prop_oneof![4 => Just(None), 1 => (0..6000_u64).prop_map(Some)];
+    (0..ACTIVE_MS, class, shape, cancel).prop_map(|(at_ms, class, shape, cancel_after_ms)| {
+        let (quick, idempotent, team, tasks, cores, run_ms) = shape;
+        let quick = quick && class == WorkClass::Urgent;
+        let tasks = if quick { 1 } else { tasks };
+        let cancel_after_ms = cancel_after_ms.filter(|_| !quick);
+        PlannedWork {
+            at_ms,
+            class,
+            quick,
+            idempotent,
+            team,
+            tasks,
+            cores,
+            run_ms,
+            cancel_after_ms,
+        }
+    })
+}
