Bound the bytes of gossip, whatever the number of hosts and teams

Cause: each heartbeat carried the records and all team totals of up to twelve hosts, to every host of the failure domain and three others. Change: a heartbeat carries its own record only, an answer one other in turn; every fifth tells of at most 16 teams, half those that changed most and half in turn; one far host per heartbeat; a host without a shard asks its own failure domain every third time. Sizes are lists of three numbers.

--- a/crates/lagoonnotch/src/model/resource.rs
+++ b/crates/lagoonnotch/src/model/resource.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of each resource that is scheduled.
+///
+/// Between the system's own processes and in the store it is a list of the three amounts.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(from = "[u64; 3]", into = "[u64; 3]")]
 pub struct ResourceSize {
     /// Processor time, in thousandths of a core.
     pub cpu_milli: u64,
@@ -146,6 +149,18 @@
     }
 }
 
+impl From<[u64; 3]> for ResourceSize {
+    fn from([cpu_milli, memory_mib, accelerators]: [u64; 3]) -> Self {
+        Self::new(cpu_milli, memory_mib, accelerators)
+    }
+}
+
+impl From<ResourceSize> for [u64; 3] {
+    fn from(size: ResourceSize) -> Self {
+        [size.cpu_milli, size.memory_mib, size.accelerators]
+    }
+}
+
 impl From<upstream::ResourceSize> for ResourceSize {
     fn from(size: upstream::ResourceSize) -> Self {
         Self::new(size.cpu_milli, size.memory_mib, size.accelerators)
--- a/crates/lagoonnotch/src/peer/member_table.rs
+++ b/crates/lagoonnotch/src/peer/member_table.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::model::{HostName, ShardName};
+use crate::peer::summary_digest::SummaryDigest;
 use crate::peer::{Heartbeat, HeartbeatReply, MemberRecord, MemberState, OwnedShard, ShardPromise};
 use crate::shard::{AllotmentWant, OwnerSighting, PeerView};
 
@@ -22,8 +23,17 @@
     pub forget_ms: u64,
     /// Number of hosts of other failure domains that each heartbeat goes to.
     pub fanout: usize,
-    /// Most records of other hosts in one heartbeat.
+    /// Number of heartbeats of which one goes to the hosts of the own failure domain, when this
+    /// host owns no shard; an owner sends them every one, since it needs their promises.
+    pub near_every: u64,
+    /// Most records of other hosts in one answer.
     pub records: usize,
+    /// Most records in the answer to a host that was not known.
+    pub welcome_records: usize,
+    /// Number of heartbeats of which one tells what runs for teams.
+    pub summary_every: u64,
+    /// Most teams that one heartbeat tells of.
+    pub summary_teams: usize,
 }
 
 impl Default for MemberTiming {
@@ -34,8 +44,12 @@
             promise_ms: 3000,
             drift_margin_ms: 300,
             forget_ms: 15_000,
-            fanout: 3,
-            records: 12,
+            fanout: 1,
+            near_every: 3,
+            records: 1,
+            welcome_records: 16,
+            summary_every: 5,
+            summary_teams: 16,
         }
     }
 }
@@ -79,6 +93,11 @@
     watched_ms: Option<u64>,
     started_ms: u64,
     next_target: usize,
+    /// Member whose record the next message carries.
+    next_known: usize,
+    /// This host's record as the present heartbeat tells it.
+    told: MemberRecord,
+    digest: SummaryDigest,
 }
 
 impl MemberTable {
@@ -92,6 +111,9 @@
     ) -> Self {
         Self {
             timing,
+            told: me.clone(),
+            digest: SummaryDigest::default(),
+            next_known: 0,
             me,
             seeds,
             members: BTreeMap::new(),
@@ -124,16 +146,26 @@
         self.watched_ms = Some(now_ms);
     }
 
-    /// Makes the next heartbeat, with the records that changed last.
+    /// Makes the next heartbeat; its size does not grow with the hosts or the teams.
     pub fn heartbeat(&mut self, now_ms: u64) -> Heartbeat {
         self.me.sequence += 1;
         self.me.watched_ms_ago = self
             .watched_ms
             .map(|watched| now_ms.saturating_sub(watched));
-        self.current(now_ms)
+        self.told = self.me.clone();
+        let tells_teams = self.me.sequence.is_multiple_of(self.timing.summary_every);
+        for owned in &mut self.told.shards {
+            let most = if tells_teams {
+                self.timing.summary_teams
+            } else {
+                0
+            };
+            owned.summary = self.digest.take(&owned.shard, &owned.summary, most);
+        }
+        self.current(0)
     }
 
-    /// Returns the hosts that the next heartbeat goes to: all of this failure domain, some others
+    /// Returns the hosts that the next heartbeat goes to: those of this failure domain, some others
     /// in turn, and the seeds while no other host is known.
     pub fn targets(&mut self, now_ms: u64) -> Vec<HeartbeatTarget> {
         let live = self
@@ -143,7 +175,13 @@
         let (near, far): (Vec<_>, Vec<_>) =
             live.partition(|entry| entry.record.domain == self.me.domain);
         let address = |entry: &&MemberEntry| entry.record.peer_address;
-        let mut targets: Vec<SocketAddr> = near.iter().map(address).collect();
+        let needs_promises = !self.me.shards.is_empty();
+        let near_turn = self.me.sequence.is_multiple_of(self.timing.near_every);
+        let mut targets: Vec<SocketAddr> = if needs_promises || near_turn {
+            near.iter().map(address).collect()
+        } else {
+            Vec::new()
+        };
         let count = far.len();
         let turn = (0..self.timing.fanout.min(count))
             .map(|offset| far[(self.next_target + offset) % count]);
@@ -174,6 +212,7 @@
         heartbeat: &Heartbeat,
         may_promise: impl Fn(&ShardName) -> bool,
     ) -> HeartbeatReply {
+        let welcome = !self.members.contains_key(&heartbeat.from.host);
         self.merge(now_ms, heartbeat);
         let same_domain = heartbeat.from.domain == self.me.domain;
         let owned = heartbeat
@@ -193,8 +232,13 @@
             self.given
                 .insert(promise.shard.clone(), now_ms + promise.promise_ms);
         }
+        let records = if welcome {
+            self.timing.welcome_records
+        } else {
+            self.timing.records
+        };
         HeartbeatReply {
-            heartbeat: self.current(now_ms),
+            heartbeat: self.current(records),
             promises,
         }
     }
@@ -295,16 +339,17 @@
         now_ms <= entry.heard_ms + self.timing.fresh_ms && entry.record.state != MemberState::Left
     }
 
-    fn current(&self, _now_ms: u64) -> Heartbeat {
-        let mut newest: Vec<&MemberEntry> = self.members.values().collect();
-        newest.sort_by_key(|entry| std::cmp::Reverse(entry.heard_ms));
-        let known = newest
-            .into_iter()
-            .take(self.timing.records)
-            .map(|entry| entry.record.clone())
+    /// Returns this host's record with some records of others, in turn.
+    fn current(&mut self, records: usize) -> Heartbeat {
+        let count = self.members.len();
+        let turn = (0..records.min(count)).map(|offset| (self.next_known + offset) % count);
+        let entries: Vec<&MemberEntry> = self.members.values().collect();
+        let known = turn
+            .map(|index| forwarded(&entries[index].record))
             .collect();
+        self.next_known = self.next_known.wrapping_add(records);
         Heartbeat {
-            from: self.me.clone(),
+            from: self.told.clone(),
             known,
         }
     }
@@ -325,11 +370,16 @@
             (record.incarnation, record.sequence) > (known.incarnation, known.sequence)
         });
         if newer {
+            let mut record = record.clone();
+            if let Some(known) = self.members.get(&record.host) {
+                keep_team_totals(&mut record, &known.record);
+            }
+            let host = record.host.clone();
             let entry = MemberEntry {
-                record: record.clone(),
+                record,
                 heard_ms: now_ms,
             };
-            self.members.insert(record.host.clone(), entry);
+            self.members.insert(host, entry);
         }
     }
 
@@ -411,3 +461,26 @@
         }
     }
 }
+
+/// Returns a record as it is passed on: without what runs for teams.
+fn forwarded(record: &MemberRecord) -> MemberRecord {
+    let mut record = record.clone();
+    for owned in &mut record.shards {
+        owned.summary.running.clear();
+    }
+    record
+}
+
+/// Adds the team totals that a newer record does not repeat.
+fn keep_team_totals(record: &mut MemberRecord, known: &MemberRecord) {
+    for owned in &mut record.shards {
+        let older = known.shards.iter().find(|older| older.shard == owned.shard);
+        for (team, running) in older.into_iter().flat_map(|older| &older.summary.running) {
+            owned
+                .summary
+                .running
+                .entry(team.clone())
+                .or_insert(*running);
+        }
+    }
+}
--- a/crates/lagoonnotch/src/peer/mod.rs
+++ b/crates/lagoonnotch/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod member_table;
 mod peer_clients;
 mod service;
+mod summary_digest;
 
 pub use heartbeat::{
     Heartbeat, HeartbeatReply, MemberRecord, MemberState, OwnedShard, ShardPromise,
