Measure faults on a running cell, and refuse no key before the first document

Cause: a host that had no document yet answered unknown_key, which is not true; figures of faults on real daemons were missing; an attempt that ended without an answer could be reported as not run.

--- a/crates/cli/src/local/driver.rs
+++ b/crates/cli/src/local/driver.rs
@@ -35,6 +35,12 @@
 /// Requests of the comparison with the direct way.
 const OVERHEAD_REQUESTS: usize = 300;
 
+/// Callers of the measurement of one host's rate.
+const RATE_CALLERS: usize = 64;
+
+/// Time of the measurement of one host's rate.
+const RATE_TIME: Duration = Duration::from_secs(3);
+
 /// What became of one submission.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum WorkResult {
@@ -100,6 +106,8 @@
 pub(super) struct PathOverhead {
     pub system_us: PathTimes,
     pub direct_us: PathTimes,
+    /// Quick requests that one entry host answers in a second.
+    pub one_host_requests_per_s: u64,
 }
 
 /// Submits the sample work of a deployment.
@@ -169,6 +177,7 @@
         PathOverhead {
             system_us: path_times(&system),
             direct_us: path_times(&direct),
+            one_host_requests_per_s: requests_per_s(&self.callers[0], &call).await,
         }
     }
 
@@ -400,6 +409,24 @@
     }
 }
 
+/// Returns how many calls one host answers in a second, for many callers at once.
+async fn requests_per_s(client: &ApiClient, call: &ApiCall) -> u64 {
+    let deadline = Instant::now() + RATE_TIME;
+    let mut callers = JoinSet::new();
+    for _ in 0..RATE_CALLERS {
+        let (client, call) = (client.clone(), call.clone());
+        callers.spawn(async move {
+            let mut answered = 0;
+            while Instant::now() < deadline {
+                answered += u64::from(client.call(call.clone()).await.is_ok());
+            }
+            answered
+        });
+    }
+    let answered: u64 = callers.join_all().await.into_iter().sum();
+    answered / RATE_TIME.as_secs()
+}
+
 async fn measure(client: &ApiClient, call: &ApiCall) -> Histogram<u64> {
     let mut times = Histogram::new(3).expect("three digits are a valid precision");
     for _ in 0..OVERHEAD_REQUESTS {
--- a/crates/cli/src/local/mod.rs
+++ b/crates/cli/src/local/mod.rs
@@ -5,6 +5,7 @@
 mod plan;
 mod platform_probe;
 mod report;
+mod trial;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -20,6 +21,7 @@
 use crate::local::plan::DeploymentPlan;
 use crate::local::platform_probe::PlatformProbe;
 use crate::local::report::LocalReport;
+use crate::local::trial::{CellTrial, TrialKind, TrialTimes};
 
 /// Time for which sample work is submitted, in seconds.
 const DEFAULT_SECONDS: u64 = 15;
@@ -50,6 +52,11 @@
             help: "go on serving until interrupted",
             value: None,
         },
+        OptionSpec {
+            name: "trial",
+            help: "store-down, domain-out or key-withdrawn during the run",
+            value: Some("NAME"),
+        },
         OptionSpec {
             name: "attach",
             help: "submit to entry hosts that run already, instead of starting a cell",
@@ -76,6 +83,7 @@
     time: Duration,
     serve: bool,
     json: bool,
+    trial: Option<TrialKind>,
     /// Entry hosts to attach to; none starts a cell.
     attach: Vec<SocketAddr>,
     store: SocketAddr,
@@ -116,7 +124,17 @@
             return CommandExit::Usage;
         }
     };
+    let trial = arguments.value("trial");
+    let kind = trial.as_deref().and_then(TrialKind::by_name);
+    if trial.is_some() && kind.is_none() {
+        eprintln!(
+            "lagoonnotch: --trial: found no known trial\n\n{}",
+            SPEC.help()
+        );
+        return CommandExit::Usage;
+    }
     let options = LocalOptions {
+        trial: kind,
         plan,
         document,
         time: Duration::from_secs(seconds),
@@ -163,7 +181,7 @@
 
 async fn run_options(options: &LocalOptions) -> Result<CommandExit> {
     if !options.attach.is_empty() {
-        let report = run_work(options, &options.attach, options.store).await?;
+        let report = run_work(options, &options.attach, options.store, None).await?;
         return Ok(exit_of(&report));
     }
     let cell = LocalCell::start(&options.plan.profile).await?;
@@ -176,7 +194,7 @@
         );
     }
     let callers: Vec<SocketAddr> = cell.hosts.iter().map(|host| host.caller).collect();
-    let report = run_work(options, &callers, cell.platform.store_address).await?;
+    let report = run_work(options, &callers, cell.platform.store_address, Some(&cell)).await?;
     if options.serve {
         eprintln!("serving until interrupted");
         tokio::signal::ctrl_c().await?;
@@ -190,11 +208,29 @@
     options: &LocalOptions,
     callers: &[SocketAddr],
     store: SocketAddr,
+    cell: Option<&LocalCell>,
 ) -> Result<LocalReport> {
     let probe = PlatformProbe::connect(store).await?;
     let driver = WorkDriver::new(callers, &options.plan, &probe);
-    let results = driver.run(options.time).await;
+    let trial = options.trial.zip(cell).map(|(kind, cell)| CellTrial {
+        kind,
+        cell,
+        plan: &options.plan,
+        probe: &probe,
+        time: options.time,
+    });
+    let changes = async {
+        match &trial {
+            Some(trial) => trial.run().await,
+            None => Ok(TrialTimes::default()),
+        }
+    };
+    let (results, times) = tokio::join!(driver.run(options.time), changes);
     let records = probe.records().await?;
+    if let Some(trial) = &trial {
+        let report = trial.report(&times?, &results, &records);
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    }
     let mut judge = RunJudge::new(&probe.hosts);
     judge.limits = team_limits(&options.document)?;
     judge.run_once = results.run_once();
--- a/crates/cli/src/local/report.rs
+++ b/crates/cli/src/local/report.rs
@@ -131,6 +131,10 @@
             self.longest_gap_ms
         );
         let overhead = &self.overhead;
+        println!(
+            "one entry host answers {} quick requests a second",
+            overhead.one_host_requests_per_s
+        );
         println!(
             "quick request: p50 {} us, p99 {} us; straight to the upstream: p50 {} us, p99 {} us",
             overhead.system_us.p50,
--- a/crates/lagoonnotch/src/entry/caller_api.rs
+++ b/crates/lagoonnotch/src/entry/caller_api.rs
@@ -24,6 +24,9 @@
 use crate::problem::{ProblemCode, ProblemReport};
 use crate::settings::HostSettings;
 
+/// Time after which a caller may try again at a host without a document, in milliseconds.
+const NO_DOCUMENT_RETRY_MS: u64 = 500;
+
 /// What every caller's request needs.
 pub(crate) struct EntryContext {
     pub settings: Arc<HostSettings>,
@@ -112,11 +115,16 @@
     }
 
     /// Returns the team of a request's key.
+    ///
+    /// A host that has no configuration yet can't tell whether the key is granted.
     pub(super) fn team(&self, request: &Request<Incoming>) -> Result<TeamName, ProblemReport> {
-        key_team(
-            &self.view().config,
-            header(request.headers(), "authorization"),
-        )
+        let view = self.view();
+        if view.config.revision == 0 {
+            let detail = "this host has no approved document yet";
+            let report = ProblemReport::not_run(ProblemCode::ConfigStale, detail);
+            return Err(report.retry_after(NO_DOCUMENT_RETRY_MS));
+        }
+        key_team(&view.config, header(request.headers(), "authorization"))
     }
 
     /// Refuses new work while the host shuts down.
--- a/crates/lagoonnotch/src/entry/quick_request.rs
+++ b/crates/lagoonnotch/src/entry/quick_request.rs
@@ -172,7 +172,7 @@
                 TryEnd::Done(Ok(answer))
             }
             Err(fault) => {
-                let started = ticket.started || fault == AttemptFault::Unclear;
+                let started = ticket.started || fault != AttemptFault::Refused;
                 progress.may_have_run |= started;
                 progress.failed_attempt = Some(ticket.ticket.attempt);
                 TryEnd::Again
--- a/crates/lagoonnotch/tests/daemon/api.rs
+++ b/crates/lagoonnotch/tests/daemon/api.rs
@@ -229,3 +229,26 @@
 
     assert_eq!(first.id, again.id);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn host_without_a_document_refuses_no_key() {
+    let mut cell = TestCell::start(&["d1"]).await;
+    cell.platform
+        .store
+        .set_faults(lagoonnotch_standin::StoreFaults {
+            down: true,
+            ..Default::default()
+        });
+    let known = std::mem::take(&mut cell.hosts);
+    cell.add_host("stranger", "d1").await;
+
+    let answer = cell
+        .call(0, Method::POST, "/v1/requests?workload=check", "")
+        .await;
+
+    assert_eq!(
+        (answer.status, answer.code().as_str()),
+        (StatusCode::SERVICE_UNAVAILABLE, "config_stale")
+    );
+    drop(known);
+}
--- a/crates/lagoonnotch/tests/promises/world.rs
+++ b/crates/lagoonnotch/tests/promises/world.rs
@@ -828,7 +828,6 @@
         model.expire(now_ms);
         match model.answer(&attempt) {
             Some((FinishOutcome::Completed, _)) => self.answered(work, ticket),
-            Some(_) => self.attempt_fails(work, ticket, true),
             None if model.is_running(&attempt) => {
                 self.push(
                     20,
@@ -838,7 +837,7 @@
                     },
                 );
             }
-            None => self.attempt_fails(work, ticket, ticket.started),
+            _ => self.attempt_fails(work, ticket, true),
         }
     }
 
