Keep a decision's cost flat as upstreams grow

Cause: each placement summed the capacity of every upstream, and every tick looked through the attempts of every upstream, due or not. Change: the sum is kept; a tick touches the upstreams that are due, silent or missing.

--- a/crates/lagoonnotch/benches/capacity.rs
+++ b/crates/lagoonnotch/benches/capacity/main.rs
@@ -1,5 +1,7 @@
 //! Slopes of memory, time and bytes for `docs/CAPACITY.md`; prints one JSON object.
 
+mod owner_model;
+
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::net::SocketAddr;
@@ -15,6 +17,8 @@
 use lagoonnotch::shard::ShardSummary;
 use serde_json::json;
 
+use crate::owner_model::OwnerModel;
+
 /// Time for which gossip is counted, in milliseconds.
 const GOSSIP_MS: u64 = 20_000;
 
@@ -23,6 +27,13 @@
 
 fn main() {
     let report = json!({
+        "request_us_48_upstreams_6_teams": request_us(48, 6),
+        "request_us_150_upstreams_360_teams": request_us(150, 360),
+        "request_us_900_upstreams_360_teams": request_us(900, 360),
+        "tick_us_48_upstreams_6_teams": tick_us(48, 6, 5),
+        "tick_us_150_upstreams_360_teams": tick_us(150, 360, 5),
+        "tick_us_900_upstreams_360_teams": tick_us(900, 360, 5),
+        "renewal_bytes_5_tasks": renewal_bytes(150, 360, 5),
         "waiting_task_bytes": waiting_task_bytes(100_000),
         "ledger_job_bytes": ledger_job_bytes(20_000),
         "snapshot_job_bytes": snapshot_job_bytes(2000),
@@ -41,6 +52,49 @@
     );
 }
 
+/// Returns the control time of one quick request from its placing to its end, in microseconds.
+fn request_us(upstreams: usize, teams: u64) -> u128 {
+    const REQUESTS: u32 = 2000;
+    let mut model = OwnerModel::new(upstreams, teams);
+    let start = Instant::now();
+    for _ in 0..REQUESTS {
+        model.place();
+        model.end();
+    }
+    start.elapsed().as_micros() / u128::from(REQUESTS)
+}
+
+/// Returns the control time of 20 ms with a number of running tasks at each upstream, in
+/// microseconds; renewals and their answers are part of it.
+fn tick_us(upstreams: usize, teams: u64, tasks: usize) -> u128 {
+    const TICKS: u32 = 200;
+    let mut model = model_with_tasks(upstreams, teams, tasks);
+    let start = Instant::now();
+    for _ in 0..TICKS {
+        model.tick();
+    }
+    start.elapsed().as_micros() / u128::from(TICKS)
+}
+
+/// Returns the bytes of one renewal and its answer.
+fn renewal_bytes(upstreams: usize, teams: u64, tasks: usize) -> u64 {
+    const SECONDS: u64 = 10;
+    let mut model = model_with_tasks(upstreams, teams, tasks);
+    let before = model.upstream_bytes;
+    for _ in 0..SECONDS * 50 {
+        model.tick();
+    }
+    (model.upstream_bytes - before) / SECONDS / upstreams as u64
+}
+
+fn model_with_tasks(upstreams: usize, teams: u64, tasks: usize) -> OwnerModel {
+    let mut model = OwnerModel::new(upstreams, teams);
+    for _ in 0..upstreams * tasks {
+        model.place();
+    }
+    model
+}
+
 /// Returns the resident memory of this process, in bytes.
 fn resident_bytes() -> usize {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/lagoonnotch/src/shard/owner/dispatch.rs
+++ b/crates/lagoonnotch/src/shard/owner/dispatch.rs
@@ -64,7 +64,7 @@
             .queue
             .teams(class)
             .filter(|team| !passed_over.contains(*team));
-        let total = self.capacity();
+        let total = self.capacity;
         let least = waiting.min_by(|left, right| {
             let left = self.weighted_share(context, left, &total);
             left.total_cmp(&self.weighted_share(context, right, &total))
@@ -96,12 +96,6 @@
         (here + elsewhere).dominant_share(total) / f64::from(weight.max(1))
     }
 
-    fn capacity(&self) -> ResourceSize {
-        self.upstreams
-            .values()
-            .fold(ResourceSize::ZERO, |sum, entry| sum + entry.capacity)
-    }
-
     /// Places the first entry of a team that fits; returns whether one did.
     fn place_first(
         &mut self,
--- a/crates/lagoonnotch/src/shard/owner/recovery.rs
+++ b/crates/lagoonnotch/src/shard/owner/recovery.rs
@@ -7,7 +7,7 @@
 use lagoonnotch_wire::upstream::HostEntry;
 
 use crate::journal::{JournalWriter, LedgerTask, LedgerWork, ShardLedger, SnapshotHead};
-use crate::model::{AttemptId, TaskId, TeamName, UpstreamName, WorkId};
+use crate::model::{AttemptId, ResourceSize, TaskId, TeamName, UpstreamName, WorkId};
 use crate::placement::CapacityIndex;
 use crate::queue::WaitingQueue;
 use crate::shard::effect_desk::CallPurpose;
@@ -69,6 +69,7 @@
             deadlines: BTreeSet::new(),
             retention: BTreeSet::new(),
             upstreams,
+            capacity: ResourceSize::ZERO,
             index: CapacityIndex::default(),
             teams: BTreeMap::new(),
             limits_read: false,
@@ -84,6 +85,7 @@
             state.restore_work(now_ms, work, timing);
         }
         state.ledger = journal.ledger;
+        state.sum_capacity();
         state
     }
 
--- a/crates/lagoonnotch/src/shard/owner/state.rs
+++ b/crates/lagoonnotch/src/shard/owner/state.rs
@@ -47,6 +47,8 @@
     /// Ends of retention.
     pub(super) retention: BTreeSet<WorkTimer>,
     pub(super) upstreams: BTreeMap<UpstreamName, UpstreamEntry>,
+    /// Sum of the upstreams' capacities, by which shares are weighed.
+    pub(super) capacity: ResourceSize,
     /// Exactly the placeable upstreams.
     pub(super) index: CapacityIndex,
     pub(super) teams: BTreeMap<TeamName, TeamEntry>,
@@ -119,12 +121,19 @@
                 entry.missing_since_ms = Some(now_ms);
             }
         }
+        self.sum_capacity();
         let names: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
         for name in &names {
             self.reindex(name);
         }
     }
 
+    /// Brings the sum of the capacities up to date.
+    pub(super) fn sum_capacity(&mut self) {
+        let capacities = self.upstreams.values().map(|entry| entry.capacity);
+        self.capacity = capacities.fold(ResourceSize::ZERO, |sum, size| sum + size);
+    }
+
     /// Does what is due at this time.
     pub(in crate::shard) fn tick(&mut self, context: &mut StepContext<'_>) {
         self.contact_upstreams(context);
--- a/crates/lagoonnotch/src/shard/owner/upstream_entry.rs
+++ b/crates/lagoonnotch/src/shard/owner/upstream_entry.rs
@@ -124,6 +124,17 @@
         listed && self.fence.is_some() && self.failures == 0
     }
 
+    /// Tells whether it is time for a fence or a renewal.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        let due = now_ms >= self.next_contact_ms || !self.orders.is_empty();
+        due && !self.call_pending && !self.address.is_empty()
+    }
+
+    /// Tells whether the leases here may have to be given up.
+    pub fn may_be_lost(&self) -> bool {
+        self.silent() || self.missing_since_ms.is_some()
+    }
+
     /// Tells whether the upstream no longer answers.
     pub fn silent(&self) -> bool {
         self.failures >= SILENT_FAILURES
--- a/crates/lagoonnotch/src/shard/owner/upstreams.rs
+++ b/crates/lagoonnotch/src/shard/owner/upstreams.rs
@@ -20,9 +20,17 @@
 impl OwnerState {
     /// Fences or renews each upstream that is due, and gives up those that are gone.
     pub(super) fn contact_upstreams(&mut self, context: &mut StepContext<'_>) {
-        let names: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
-        for name in names {
+        let doubted = self.upstreams.values().filter(|entry| entry.may_be_lost());
+        let doubted: Vec<UpstreamName> = doubted.map(|entry| entry.name.clone()).collect();
+        for name in doubted {
             self.give_up_lost(context, &name);
+        }
+        let due = self
+            .upstreams
+            .values()
+            .filter(|entry| entry.is_due(context.now_ms));
+        let due: Vec<UpstreamName> = due.map(|entry| entry.name.clone()).collect();
+        for name in due {
             self.contact(context, &name);
         }
     }
@@ -33,10 +41,6 @@
         let Some(entry) = self.upstreams.get_mut(name) else {
             return;
         };
-        let due = context.now_ms >= entry.next_contact_ms || !entry.orders.is_empty();
-        if entry.call_pending || !due || entry.address.is_empty() {
-            return;
-        }
         entry.call_pending = true;
         entry.next_contact_ms = context.now_ms + context.timing.renew_ms;
         let (request, purpose) = match entry.fence.clone() {
@@ -84,6 +88,7 @@
             self.settle_doubtful(context, name, None);
             self.upstreams.remove(name);
             self.index.remove(name);
+            self.sum_capacity();
         }
     }
 
