Check an owner that is cut off while its tasks outlive every lease

Cause: histories rarely cut a live owner off from the store and its peers while it still reached upstreams that its successor can't reach. Change: a property test with just these histories.

--- a/crates/lagoonnotch/tests/promises/history.rs
+++ b/crates/lagoonnotch/tests/promises/history.rs
@@ -126,6 +126,32 @@
     })
 }
 
+/// Returns histories in which one host of the first failure domain is cut off from the store and
+/// its peers, the other from an upstream, and tasks run for longer than any lease.
+pub fn cut_off_histories() -> impl Strategy<Value = History> {
+    let cut = (2000..10_000_u64, 6000..25_000_u64, 0..2_usize, 0..3_usize);
+    (histories_of(fault_kinds().boxed(), 2), cut).prop_map(|(mut history, cut)| {
+        let (at_ms, for_ms, host, upstream) = cut;
+        let other = 1 - host;
+        let kinds = [
+            FaultKind::StoreCut(host),
+            FaultKind::PeerCut(host, other),
+            FaultKind::PeerCut(host, 2),
+            FaultKind::UpstreamCut(other, upstream),
+        ];
+        history.faults.extend(kinds.map(|kind| Fault {
+            at_ms,
+            for_ms,
+            kind,
+        }));
+        for work in &mut history.works {
+            work.at_ms /= 2;
+            work.run_ms *= 4;
+        }
+        history
+    })
+}
+
 fn fault_kinds() -> impl Strategy<Value = FaultKind> {
     prop_oneof![
         3 => (0..3_usize).prop_map(FaultKind::Crash),
--- a/crates/lagoonnotch/tests/promises/shard_promises.rs
+++ b/crates/lagoonnotch/tests/promises/shard_promises.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 
 use crate::entry_model::{CallerKnows, CallerWork};
-use crate::history::{FaultKind, History, config, histories, histories_of};
+use crate::history::{FaultKind, History, config, cut_off_histories, histories, histories_of};
 use crate::world::{TEAM_CORES, World, cores};
 
 /// Time after which a change that the operators or the platform made must be obeyed, in milliseconds.
@@ -145,6 +145,14 @@
         }
     }
 
+    #[test]
+    fn promise_owner_that_is_cut_off_does_no_harm(history in cut_off_histories()) {
+        let world = World::run(&history);
+        let verdict = verdict(&world);
+        let doubled: Vec<String> = verdict.doubled.iter().cloned().collect();
+        prop_assert!(verdict.is_clean(), "{verdict:?}\n{}", world.story(&doubled));
+    }
+
     #[test]
     fn promise_no_accepted_job_is_lost(history in histories()) {
         let world = World::run(&history);
