Hand waiting jobs over while a failure domain is out of service

Cause: jobs waited for as long as their failure domain was out. Change: probe, journaled offer, acceptance by identifier, pointer to the shard that has the job; property test with domains out, crashes, pauses, outages and cuts; the test cell's configuration has a file of its own. Conclusion: an offer that is final needs no agreement to take back.

--- a/crates/lagoonnotch/src/daemon/control.rs
+++ b/crates/lagoonnotch/src/daemon/control.rs
@@ -181,6 +181,13 @@
                 }
             }
             ShardEffect::Event { code, detail } => code.log(&detail),
+            ShardEffect::Peer {
+                call,
+                shard: other,
+                request,
+            } => {
+                self.runner.call_shard(shard.clone(), call, other, request);
+            }
             ShardEffect::Store { call, request } => {
                 self.runner.call_store(shard.clone(), call, request);
             }
--- a/crates/lagoonnotch/src/daemon/effect_runner.rs
+++ b/crates/lagoonnotch/src/daemon/effect_runner.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use lagoonnotch_wire::store::StoreCall;
 use tokio::runtime::Handle;
@@ -9,10 +10,14 @@
 use crate::daemon::ControlHandle;
 use crate::daemon::control::ShardMessage;
 use crate::dispatch::UpstreamClient;
+use crate::entry::ShardRouter;
 use crate::model::ShardName;
-use crate::shard::{CallFault, CallId, ShardInput, UpstreamCall};
+use crate::shard::{CallFault, CallId, ShardCommand, ShardInput, UpstreamCall};
 use crate::store::StoreClient;
 
+/// Longest time of a command to the owner of another shard.
+const SHARD_CALL_TIME: Duration = Duration::from_secs(3);
+
 /// Makes calls for the control thread and returns their results to it.
 #[derive(Clone)]
 pub(super) struct EffectRunner {
@@ -20,6 +25,7 @@
     pub control: ControlHandle,
     pub store: StoreClient,
     pub upstreams: UpstreamClient,
+    pub router: ShardRouter,
 }
 
 impl EffectRunner {
@@ -51,6 +57,24 @@
         });
     }
 
+    /// Sends a command to the owner of another shard.
+    pub fn call_shard(
+        &self,
+        shard: ShardName,
+        call: CallId,
+        other: ShardName,
+        request: ShardCommand,
+    ) {
+        let runner = self.clone();
+        self.traffic.spawn(async move {
+            let reply = runner.router.send(&other, request, SHARD_CALL_TIME).await;
+            let result = reply.map_err(|_| CallFault);
+            runner
+                .deliver(shard, ShardInput::Peer { call, result })
+                .await;
+        });
+    }
+
     /// Sets the peers that may relay store calls.
     pub fn set_relays(&self, relays: Vec<SocketAddr>) {
         self.store.set_relays(relays);
--- a/crates/lagoonnotch/src/daemon/host_daemon.rs
+++ b/crates/lagoonnotch/src/daemon/host_daemon.rs
@@ -101,7 +101,13 @@
         let store = StoreClient::new(settings.store_address, peers.clone(), Arc::clone(&metrics));
         let (address, mailbox) = Mailbox::unbounded();
         let (view_sender, view) = watch::channel(Arc::new(empty_view(&settings)));
+        let router = ShardRouter {
+            control: address.clone(),
+            peers: peers.clone(),
+            view,
+        };
         let runner = EffectRunner {
+            router: router.clone(),
             traffic: Handle::current(),
             control: address.clone(),
             store: store.clone(),
@@ -128,11 +134,6 @@
             stop_control: Some(stop_control),
             control_thread: Some(control_thread),
         };
-        let router = ShardRouter {
-            control: daemon.control.clone(),
-            peers: peers.clone(),
-            view,
-        };
         daemon.spawn_loops(&store, &peers, &router);
         daemon.spawn_servers(listeners, &store, router, metrics);
         EventCode::DaemonStarted.log(&format!("host {}", daemon.settings.host));
--- a/crates/lagoonnotch/src/entry/job_api.rs
+++ b/crates/lagoonnotch/src/entry/job_api.rs
@@ -198,7 +198,7 @@
         work: &WorkId,
         command: ShardCommand,
     ) -> Result<ShardReply, ProblemReport> {
-        let Some(home) = work.home() else {
+        let Some(mut home) = work.home() else {
             let detail = format!("{work} is no identifier of this system");
             return Err(ProblemReport::not_run(ProblemCode::UnknownWork, detail));
         };
@@ -215,6 +215,10 @@
                 Ok(ShardReply::Refused(refusal)) if refusal.code == RefusalCode::OutcomeUnknown => {
                     sent = true;
                 }
+                Ok(ShardReply::MovedTo(shard)) => {
+                    home = shard;
+                    continue;
+                }
                 Ok(reply) => return Ok(reply),
                 Err(RouteFault::NoOwner) => {}
                 Err(RouteFault::NoAnswer) => sent = true,
--- a/crates/lagoonnotch/src/journal/record.rs
+++ b/crates/lagoonnotch/src/journal/record.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::WorkClass;
-use crate::model::{AttemptId, ResourceSize, TaskId, TeamName, UpstreamName, WorkId, WorkloadName};
+use crate::model::{
+    AttemptId, ResourceSize, ShardName, TaskId, TeamName, UpstreamName, WorkId, WorkloadName,
+};
 
 /// A work as it was accepted.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -91,6 +93,18 @@
         /// Its answer, when it is short and no caller waited for it.
         answer: Option<Arc<str>>,
     },
+    /// A work that never started is offered to another shard, and will not start here.
+    Offered {
+        /// The work.
+        work: WorkId,
+        /// The other shard.
+        to: ShardName,
+    },
+    /// The other shard has the work.
+    Moved {
+        /// The work.
+        work: WorkId,
+    },
     /// A work is to be cancelled.
     Cancelled {
         /// The work.
--- a/crates/lagoonnotch/src/journal/shard_ledger.rs
+++ b/crates/lagoonnotch/src/journal/shard_ledger.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::journal::{AcceptedWork, JournalRecord, TaskOutcome};
-use crate::model::{AttemptId, UpstreamName, WorkId};
+use crate::model::{AttemptId, ShardName, UpstreamName, WorkId};
 
 /// What the journal says of a task.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -57,6 +57,10 @@
     pub tasks: Vec<LedgerTask>,
     /// Whether it is to be cancelled.
     pub cancelled: bool,
+    /// The shard that it is offered to, if it is.
+    pub offered_to: Option<ShardName>,
+    /// Whether that shard has it.
+    pub moved: bool,
 }
 
 /// What the journal says of all works.
@@ -98,6 +102,16 @@
                     };
                 }
             }
+            JournalRecord::Offered { work, to } => {
+                if let Some(work) = self.works.get_mut(work) {
+                    work.offered_to = Some(to.clone());
+                }
+            }
+            JournalRecord::Moved { work } => {
+                if let Some(work) = self.works.get_mut(work) {
+                    work.moved = true;
+                }
+            }
             JournalRecord::Cancelled { work } => {
                 if let Some(work) = self.works.get_mut(work) {
                     work.cancelled = true;
@@ -114,6 +128,8 @@
                 accepted: accepted.clone(),
                 tasks: vec![LedgerTask::Waiting { failures: 0 }; accepted.tasks as usize],
                 cancelled: false,
+                offered_to: None,
+                moved: false,
             });
     }
 
--- a/crates/lagoonnotch/src/peer/member_table.rs
+++ b/crates/lagoonnotch/src/peer/member_table.rs
@@ -317,9 +317,27 @@
                 add_summary(&mut view, entry.heard_ms, owned);
             }
         }
+        view.starting = self.starting_shards(now_ms, shard);
         view
     }
 
+    /// Returns the other shards that start tasks, those with the most free capacity first.
+    fn starting_shards(&self, now_ms: u64, shard: &ShardName) -> Vec<ShardName> {
+        let fresh = self
+            .members
+            .values()
+            .filter(|entry| self.is_fresh(now_ms, entry));
+        let owned = fresh.flat_map(|entry| entry.record.shards.iter());
+        let mut starting: Vec<&OwnedShard> = owned
+            .filter(|owned| owned.summary.starting && owned.shard != *shard)
+            .collect();
+        starting.sort_by_key(|owned| std::cmp::Reverse(owned.summary.free.cpu_milli));
+        starting
+            .into_iter()
+            .map(|owned| owned.shard.clone())
+            .collect()
+    }
+
     /// Tells whether this host is the one of its failure domain that watches the store.
     #[must_use]
     pub fn is_watcher(&self, now_ms: u64) -> bool {
--- a/crates/lagoonnotch/src/shard/effect_desk.rs
+++ b/crates/lagoonnotch/src/shard/effect_desk.rs
@@ -6,8 +6,10 @@
 use lagoonnotch_wire::store::StoreCall;
 
 use crate::event::EventCode;
-use crate::model::{AttemptId, TeamName, UpstreamName};
-use crate::shard::messages::{CallId, CommandId, Refusal, ShardEffect, ShardReply, UpstreamCall};
+use crate::model::{AttemptId, ShardName, TeamName, UpstreamName, WorkId};
+use crate::shard::messages::{
+    CallId, CommandId, Refusal, ShardCommand, ShardEffect, ShardReply, UpstreamCall,
+};
 
 /// What a call was made for.
 #[derive(Clone, Debug)]
@@ -66,6 +68,10 @@
         upstream: UpstreamName,
         attempt: AttemptId,
     },
+    /// The owner asks whether another shard could run a job.
+    Probe { work: WorkId, to: ShardName },
+    /// The owner hands a job over.
+    Offer { work: WorkId },
     /// The owner withdraws an attempt.
     Revoke {
         upstream: UpstreamName,
@@ -104,6 +110,16 @@
         });
     }
 
+    /// Sends a command to the owner of another shard.
+    pub fn call_shard(&mut self, shard: &ShardName, request: ShardCommand, purpose: CallPurpose) {
+        let call = self.register(purpose);
+        self.effects.push(ShardEffect::Peer {
+            call,
+            shard: shard.clone(),
+            request,
+        });
+    }
+
     /// Answers a command.
     pub fn reply(&mut self, command: CommandId, reply: ShardReply) {
         self.effects.push(ShardEffect::Reply { command, reply });
--- a/crates/lagoonnotch/src/shard/machine.rs
+++ b/crates/lagoonnotch/src/shard/machine.rs
@@ -14,7 +14,7 @@
 use crate::shard::effect_desk::{CallPurpose, EffectDesk};
 use crate::shard::messages::{
     CallFault, CallId, CommandId, PeerView, Refusal, RefusalCode, ShardCommand, ShardEffect,
-    ShardInput, ShardSummary, UpstreamReply,
+    ShardInput, ShardReply, ShardSummary, UpstreamReply,
 };
 use crate::shard::owner::{OwnerState, StepContext};
 use crate::shard::phase::{OwnershipEvent, OwnershipPhase, ownership_chart};
@@ -81,6 +81,7 @@
             ShardInput::Tick => self.tick(now_ms),
             ShardInput::Command { command, request } => self.command(now_ms, command, request),
             ShardInput::Store { call, result } => self.store_result(now_ms, call, result),
+            ShardInput::Peer { call, result } => self.peer_result(now_ms, call, &result),
             ShardInput::Upstream { call, result } => self.upstream_result(now_ms, call, result),
             ShardInput::Config(config) => self.set_config(config),
             ShardInput::Hosts(hosts) => self.set_hosts(now_ms, hosts),
@@ -329,6 +330,15 @@
         });
     }
 
+    fn peer_result(&mut self, now_ms: u64, call: CallId, result: &Result<ShardReply, CallFault>) {
+        let Some(purpose) = self.desk.take_purpose(call) else {
+            return;
+        };
+        self.with_owner(now_ms, |owner, context| {
+            owner.peer_result(context, &purpose, result);
+        });
+    }
+
     /// Puts a configuration into force, unless a newer one is.
     fn set_config(&mut self, config: Arc<ApprovedConfig>) {
         if config.revision >= self.config.revision {
--- a/crates/lagoonnotch/src/shard/messages.rs
+++ b/crates/lagoonnotch/src/shard/messages.rs
@@ -47,6 +47,13 @@
         /// Its result.
         result: Result<StoreReply, CallFault>,
     },
+    /// The owner of another shard answered, or did not.
+    Peer {
+        /// The call.
+        call: CallId,
+        /// Its result.
+        result: Result<ShardReply, CallFault>,
+    },
     /// An upstream answered, or did not.
     Upstream {
         /// The call.
@@ -83,6 +90,15 @@
         /// The call.
         request: UpstreamCall,
     },
+    /// A command for the owner of another shard.
+    Peer {
+        /// Identifier for the result.
+        call: CallId,
+        /// The other shard.
+        shard: ShardName,
+        /// The command.
+        request: ShardCommand,
+    },
     /// The answer to a command.
     Reply {
         /// The command.
@@ -160,6 +176,8 @@
     pub team_totals: BTreeMap<TeamName, ResourceSize>,
     /// Teams for which other shards lack allotment, with the longest wait.
     pub wanted: BTreeMap<TeamName, AllotmentWant>,
+    /// Other shards that start tasks, those with the most free capacity first.
+    pub starting: Vec<ShardName>,
     /// Number of shards in the fleet.
     pub shards: u64,
 }
@@ -171,6 +189,10 @@
     Place(PlaceRequest),
     /// Acceptance of a job.
     Submit(AcceptedWork),
+    /// Whether a job of another shard could run here.
+    Probe(AcceptedWork),
+    /// Acceptance of a job that another shard hands over.
+    Adopt(AcceptedWork),
     /// The state of a job.
     Show {
         /// The job.
@@ -368,6 +390,8 @@
     Status(JobStatus),
     /// The answer of a job's task.
     Answer(WorkAnswer),
+    /// Another shard has the job.
+    MovedTo(ShardName),
     /// A report was taken note of.
     Noted,
     /// The command was not carried out.
--- a/crates/lagoonnotch/src/shard/owner/commands.rs
+++ b/crates/lagoonnotch/src/shard/owner/commands.rs
@@ -12,7 +12,7 @@
 use crate::shard::owner::commits::FollowUp;
 use crate::shard::owner::settle::PlacedAttempt;
 use crate::shard::owner::state::{WorkTimer, end_refusal};
-use crate::shard::owner::work_entry::{TaskPhase, WorkEntry};
+use crate::shard::owner::work_entry::{JobPlace, TaskPhase, WorkEntry};
 use crate::shard::owner::{OwnerState, StepContext};
 
 /// Time after which a refused caller may try again, in milliseconds.
@@ -29,6 +29,15 @@
         match request {
             ShardCommand::Place(request) => self.place(context, command, &request),
             ShardCommand::Submit(accepted) => self.submit(context, command, accepted),
+            ShardCommand::Probe(accepted) => self.probe(context, command, &accepted),
+            ShardCommand::Adopt(accepted) => self.adopt_job(context, command, accepted),
+            ShardCommand::Show { work, .. }
+            | ShardCommand::Cancel { work, .. }
+            | ShardCommand::Answer { work, .. }
+                if self.is_elsewhere(&work) =>
+            {
+                self.point_elsewhere(context, command, &work);
+            }
             ShardCommand::Show { work, team } => match self.find_job(&work, &team) {
                 Ok(entry) => context
                     .desk
@@ -308,8 +317,8 @@
             );
             return context.desk.refuse(command, refusal);
         }
-        if let Some(commands) = self.submits.get_mut(&accepted.id) {
-            return commands.push(command);
+        if self.submits.contains_key(&accepted.id) {
+            return self.accept_once(command, accepted);
         }
         let Some(policy) = context.config.workloads.get(&accepted.workload) else {
             let detail = format!("there is no workload {}", accepted.workload);
@@ -323,6 +332,14 @@
         if let Err(refusal) = checked {
             return context.desk.refuse(command, refusal);
         }
+        self.accept_once(command, accepted);
+    }
+
+    /// Journals the acceptance of a job; a second command for the same job waits for the first.
+    pub(super) fn accept_once(&mut self, command: CommandId, accepted: AcceptedWork) {
+        if let Some(commands) = self.submits.get_mut(&accepted.id) {
+            return commands.push(command);
+        }
         self.submits.insert(accepted.id.clone(), vec![command]);
         let record = JournalRecord::Accepted {
             work: accepted.clone(),
@@ -330,6 +347,35 @@
         self.append(record, Some(FollowUp::AcceptJob(accepted)));
     }
 
+    /// Tells whether a job could be accepted and started here now.
+    pub(super) fn check_startable(
+        &self,
+        context: &StepContext<'_>,
+        accepted: &AcceptedWork,
+    ) -> Result<(), Refusal> {
+        check_starts(context)?;
+        self.check_possible(context, accepted)
+    }
+
+    /// Tells whether another shard has a job or is about to have it.
+    fn is_elsewhere(&self, work: &WorkId) -> bool {
+        self.works
+            .get(work)
+            .is_some_and(|entry| entry.place != JobPlace::Here)
+    }
+
+    /// Answers a command about a job that another shard has, or is about to have.
+    fn point_elsewhere(&self, context: &mut StepContext<'_>, command: CommandId, work: &WorkId) {
+        let place = self.works.get(work).map(|entry| &entry.place);
+        if let Some(JobPlace::Moved(to)) = place {
+            return context.desk.reply(command, ShardReply::MovedTo(to.clone()));
+        }
+        let refusal = Refusal::unknown(RefusalCode::NotOwner, "the job is being handed over");
+        context
+            .desk
+            .refuse(command, refusal.retry_after(RETRY_AFTER_MS));
+    }
+
     fn find_job(&self, work: &WorkId, team: &TeamName) -> Result<&WorkEntry, Refusal> {
         let entry = self
             .works
--- a/crates/lagoonnotch/src/shard/owner/commits.rs
+++ b/crates/lagoonnotch/src/shard/owner/commits.rs
@@ -21,6 +21,8 @@
         upstream: UpstreamName,
         attempt: AttemptId,
     },
+    /// The job is sent to the shard that it is offered to.
+    Offer(WorkId),
     /// The job's tasks are stopped.
     ApplyCancel(WorkId),
 }
@@ -121,6 +123,7 @@
                 Some(FollowUp::Acknowledge { upstream, attempt }) => {
                     self.acknowledge(&upstream, &attempt);
                 }
+                Some(FollowUp::Offer(work)) => self.send_offer(context, &work),
                 Some(FollowUp::ApplyCancel(work)) => self.apply_cancel(context, &work),
                 None => {}
             }
--- a/crates/lagoonnotch/src/shard/owner/mod.rs
+++ b/crates/lagoonnotch/src/shard/owner/mod.rs
@@ -5,6 +5,7 @@
 mod commits;
 mod context;
 mod dispatch;
+mod handover;
 mod recovery;
 mod reports;
 mod settle;
--- a/crates/lagoonnotch/src/shard/owner/recovery.rs
+++ b/crates/lagoonnotch/src/shard/owner/recovery.rs
@@ -15,7 +15,7 @@
 use crate::shard::owner::snapshots::SnapshotState;
 use crate::shard::owner::state::WorkTimer;
 use crate::shard::owner::upstream_entry::{Booking, UpstreamEntry};
-use crate::shard::owner::work_entry::{TaskAttempt, TaskEvent, TaskPhase, WorkEntry};
+use crate::shard::owner::work_entry::{JobPlace, TaskAttempt, TaskEvent, TaskPhase, WorkEntry};
 use crate::shard::owner::{OwnerState, StepContext};
 use crate::shard::timing::ShardTiming;
 
@@ -117,7 +117,7 @@
                 .any(|task| task.phase() == TaskPhase::Waiting);
             if quick && waits {
                 self.abandon(context, &work);
-            } else if waits {
+            } else if waits && self.works[&work].place == JobPlace::Here {
                 self.enqueue_work(&work, context.now_ms);
             }
             self.resume_cancel(context, &work);
@@ -186,6 +186,7 @@
         let mut entry = WorkEntry::new(work.accepted.clone(), self.next_sequence, 0);
         entry.recorded = true;
         entry.cancelled = work.cancelled;
+        entry.place = restored_place(work);
         self.works.insert(id.clone(), entry);
         for (index, task) in (0..).zip(&work.tasks) {
             self.restore_task(
@@ -270,3 +271,15 @@
         );
     }
 }
+
+/// Returns which shard is to start a job's tasks, from the journal.
+///
+/// A job that is cancelled here was cancelled before its offer was sent, since later commands go
+/// to the other shard.
+fn restored_place(work: &LedgerWork) -> JobPlace {
+    match &work.offered_to {
+        Some(to) if work.moved => JobPlace::Moved(to.clone()),
+        Some(to) if !work.cancelled => JobPlace::Offered(to.clone()),
+        _ => JobPlace::Here,
+    }
+}
--- a/crates/lagoonnotch/src/shard/owner/state.rs
+++ b/crates/lagoonnotch/src/shard/owner/state.rs
@@ -144,6 +144,7 @@
             self.next_upkeep_ms = context.now_ms + UPKEEP_MS;
             self.revoke_unused_tickets(context);
             self.tend_allotments(context);
+            self.tend_handover(context);
             self.forget_old_works(context);
             self.dirty = true;
         }
--- a/crates/lagoonnotch/src/shard/owner/work_entry.rs
+++ b/crates/lagoonnotch/src/shard/owner/work_entry.rs
@@ -8,7 +8,7 @@
 use crate::chart::StateChart;
 use crate::document::WorkClass;
 use crate::journal::{AcceptedWork, TaskOutcome};
-use crate::model::{TaskId, UpstreamName};
+use crate::model::{ShardName, TaskId, UpstreamName};
 use crate::shard::messages::CommandId;
 
 /// Phase of a task; the transitions are those of `charts/task.json`.
@@ -123,6 +123,19 @@
     }
 }
 
+/// Which shard is to start a job's tasks.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum JobPlace {
+    /// This one.
+    Here,
+    /// Another one, once the journal says so.
+    Offering(ShardName),
+    /// Another one, which may not know yet.
+    Offered(ShardName),
+    /// Another one, which has the job.
+    Moved(ShardName),
+}
+
 /// A quick request or a job.
 #[derive(Clone, Debug)]
 pub(super) struct WorkEntry {
@@ -135,6 +148,10 @@
     pub recorded: bool,
     /// Commands that wait for a place or an outcome.
     pub waiters: Vec<CommandId>,
+    /// Which shard is to start the tasks.
+    pub place: JobPlace,
+    /// When to ask or to offer again, in milliseconds.
+    pub next_offer_ms: u64,
     /// Until when a quick request waits, in milliseconds.
     pub deadline_ms: u64,
     /// When the last task ended for good.
@@ -152,6 +169,8 @@
             cancelled: false,
             recorded: false,
             waiters: Vec::new(),
+            place: JobPlace::Here,
+            next_offer_ms: 0,
             deadline_ms,
             settled_ms: None,
         }
--- a/crates/lagoonnotch/tests/promises/entry_model.rs
+++ b/crates/lagoonnotch/tests/promises/entry_model.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use lagoonnotch::journal::AcceptedWork;
-use lagoonnotch::model::{TeamName, WorkId, WorkloadName};
+use lagoonnotch::model::{ShardName, TeamName, WorkId, WorkloadName};
 use lagoonnotch::shard::{AttemptTicket, PlaceRequest, RefusalCode, ShardCommand, ShardReply};
 use lagoonnotch_wire::caller::{JobState, JobStatus, WorkOutcome};
 
@@ -37,6 +37,8 @@
 pub struct CallerWork {
     pub plan: PlannedWork,
     pub id: WorkId,
+    /// The shard that has the work.
+    pub home: ShardName,
     pub knows: CallerKnows,
     /// The last state that was shown for a job.
     pub status: Option<JobStatus>,
@@ -53,6 +55,7 @@
         Self {
             next_ask_ms: plan.at_ms,
             plan,
+            home: id.home().expect("the identifier names its home"),
             id,
             knows: CallerKnows::Nothing,
             status: None,
@@ -90,6 +93,7 @@
                 self.knows = CallerKnows::Accepted;
             }
             ShardReply::Status(status) => self.take_status(status),
+            ShardReply::MovedTo(shard) => self.home = shard,
             ShardReply::Refused(refusal) if self.knows == CallerKnows::Nothing => {
                 let again = matches!(
                     refusal.code,
@@ -170,7 +174,7 @@
             idempotent: self.plan.idempotent,
             preemptible: false,
             lasting: true,
-            size: crate::world::cores(self.plan.cores),
+            size: crate::cell_config::cores(self.plan.cores),
             tasks: self.plan.tasks,
             max_attempts: 3,
             deadline_ms: 1000,
--- a/crates/lagoonnotch/tests/promises/shard_promises.rs
+++ b/crates/lagoonnotch/tests/promises/shard_promises.rs
@@ -7,9 +7,10 @@
 use lagoonnotch_wire::upstream::{FinishOutcome, ResourceSize};
 use proptest::prelude::*;
 
+use crate::cell_config::{TEAM_CORES, cores};
 use crate::entry_model::{CallerKnows, CallerWork};
 use crate::history::{FaultKind, History, config, cut_off_histories, histories, histories_of};
-use crate::world::{TEAM_CORES, World, cores};
+use crate::world::World;
 
 /// Time after which a change that the operators or the platform made must be obeyed, in milliseconds.
 const OBEYED_MS: u64 = 5000;
@@ -153,6 +154,23 @@
         prop_assert!(verdict.is_clean(), "{verdict:?}\n{}", world.story(&doubled));
     }
 
+    #[test]
+    fn promise_handed_over_job_is_neither_lost_nor_doubled(history in histories_of(
+        prop_oneof![
+            3 => Just(FaultKind::DomainOut),
+            1 => (0..3_usize).prop_map(FaultKind::Crash),
+            1 => (0..3_usize).prop_map(FaultKind::Pause),
+            1 => Just(FaultKind::StoreDown),
+            1 => (0..2_usize).prop_map(|host| FaultKind::PeerCut(host, 2)),
+        ].boxed(), 6)
+    ) {
+        let world = World::run(&history);
+        let verdict = verdict(&world);
+        let mut names: Vec<String> = lost_jobs(&world).into_keys().collect();
+        names.extend(verdict.doubled.iter().cloned());
+        prop_assert!(names.is_empty() && verdict.is_clean(), "{names:?} {verdict:?}\n{}", world.story(&names));
+    }
+
     #[test]
     fn promise_no_accepted_job_is_lost(history in histories()) {
         let world = World::run(&history);
--- a/crates/lagoonnotch/tests/promises/world.rs
+++ b/crates/lagoonnotch/tests/promises/world.rs
@@ -4,11 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use lagoonnotch::document::{
-    ApprovedConfig, DomainPolicy, QueuePolicy, TeamPolicy, WorkClass, WorkloadPolicy,
-};
+use lagoonnotch::document::{ApprovedConfig, WorkClass};
 use lagoonnotch::model::{AttemptId, TaskId};
-use lagoonnotch::model::{DomainName, ResourceSize, ShardName, WorkId};
+use lagoonnotch::model::{DomainName, ShardName, WorkId};
 use lagoonnotch::peer::{
     Heartbeat, HeartbeatReply, MemberRecord, MemberState, MemberTable, MemberTiming, OwnedShard,
 };
@@ -25,6 +23,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::cell_config::{cores, first_config, set_in, set_lower, set_out, set_whole};
 use crate::entry_model::{CallerKnows, CallerWork, CallerWorks, REQUEST_MS};
 use crate::history::{Fault, FaultKind, History, PlannedWork};
 
@@ -34,16 +33,12 @@
 const TICK_MS: u64 = 50;
 const BEAT_MS: u64 = 400;
 const CALL_TIMEOUT_MS: u64 = 800;
+const PEER_TIMEOUT_MS: u64 = 3000;
 const CONFIG_DELAY_MS: u64 = 1000;
 const LIST_LAG_MS: u64 = 1000;
 const HOST_DOMAINS: [&str; 3] = ["d1", "d1", "d2"];
 const UPSTREAM_DOMAINS: [&str; 4] = ["d1", "d1", "d1", "d2"];
 const UPSTREAM_CORES: u64 = 8;
-pub const TEAM_CORES: u64 = 16;
-
-pub fn cores(count: u64) -> ResourceSize {
-    ResourceSize::new(count * 1000, count * 1000, 0)
-}
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct EventKey {
@@ -99,6 +94,17 @@
         work: WorkId,
         request: ShardCommand,
     },
+    PeerCommand {
+        from: HostRun,
+        call: CallId,
+        shard: ShardName,
+        request: ShardCommand,
+    },
+    FromPeer {
+        to: HostRun,
+        call: CallId,
+        result: Result<ShardReply, CallFault>,
+    },
     Reply {
         work: WorkId,
         reply: ShardReply,
@@ -120,13 +126,20 @@
     ConfigArrives(usize, Arc<ApprovedConfig>),
 }
 
+/// Who waits for the reply to a command.
+#[derive(Clone, Debug)]
+enum CommandSource {
+    Caller(WorkId),
+    Peer(HostRun, CallId),
+}
+
 struct SimHost {
     machine: ShardMachine,
     members: MemberTable,
     incarnation: u64,
     alive: bool,
     paused_until_ms: u64,
-    commands: BTreeMap<CommandId, WorkId>,
+    commands: BTreeMap<CommandId, CommandSource>,
     next_command: u64,
 }
 
@@ -424,11 +437,50 @@
                 );
             }
             ShardEffect::Reply { command, reply } => {
-                if let Some(work) = self.hosts[host].commands.remove(&command) {
-                    let delay = self.delay();
-                    self.push(delay, Event::Reply { work, reply });
+                let source = self.hosts[host].commands.remove(&command);
+                let delay = self.delay();
+                match source {
+                    Some(CommandSource::Caller(work)) => {
+                        self.push(delay, Event::Reply { work, reply });
+                    }
+                    Some(CommandSource::Peer(to, call)) => {
+                        self.push(
+                            delay,
+                            Event::FromPeer {
+                                to,
+                                call,
+                                result: Ok(reply),
+                            },
+                        );
+                    }
+                    None => {}
                 }
             }
+            ShardEffect::Peer {
+                call,
+                shard,
+                request,
+            } => {
+                let delay = self.delay();
+                self.push(
+                    delay,
+                    Event::PeerCommand {
+                        from,
+                        call,
+                        shard,
+                        request,
+                    },
+                );
+                let result = Err(CallFault);
+                self.push(
+                    PEER_TIMEOUT_MS,
+                    Event::FromPeer {
+                        to: from,
+                        call,
+                        result,
+                    },
+                );
+            }
             ShardEffect::Event { code, detail } => {
                 self.note(&format!("host {host}: {code:?} {detail}"));
             }
@@ -438,27 +490,11 @@
     fn handle(&mut self, event: &Event) {
         match event {
             Event::Tick => self.tick(),
-            Event::Beat(run) => {
-                if self.is_current(*run) && !self.put_off(run.host, event) {
-                    self.beat(*run);
-                }
-            }
             Event::ToStore {
                 from,
                 call,
                 request,
             } => self.at_store(*from, *call, request),
-            Event::FromStore { to, call, result } => {
-                if self.is_current(*to) && !self.put_off(to.host, event) {
-                    self.step(
-                        to.host,
-                        ShardInput::Store {
-                            call: *call,
-                            result: result.clone(),
-                        },
-                    );
-                }
-            }
             Event::ToUpstream {
                 from,
                 call,
@@ -467,44 +503,6 @@
             } => {
                 self.at_upstream(*from, *call, *upstream, request);
             }
-            Event::FromUpstream { to, call, result } => {
-                if self.is_current(*to) && !self.put_off(to.host, event) {
-                    self.step(
-                        to.host,
-                        ShardInput::Upstream {
-                            call: *call,
-                            result: result.clone(),
-                        },
-                    );
-                }
-            }
-            Event::Heartbeat {
-                from,
-                to,
-                sent_ms,
-                heartbeat,
-            } => {
-                if self.hosts[*to].alive && !self.put_off(*to, event) {
-                    self.heartbeat(*from, *to, *sent_ms, heartbeat);
-                }
-            }
-            Event::HeartbeatAnswer { to, sent_ms, reply } => {
-                if self.is_current(*to) && !self.put_off(to.host, event) {
-                    let now_ms = self.now_ms;
-                    self.hosts[to.host]
-                        .members
-                        .receive_reply(now_ms, *sent_ms, reply);
-                }
-            }
-            Event::Command {
-                host,
-                work,
-                request,
-            } => {
-                if self.hosts[*host].alive && !self.put_off(*host, event) {
-                    self.command(*host, work, request.clone());
-                }
-            }
             Event::Reply { work, reply } => self.reply(work, reply.clone()),
             Event::Run { work, ticket } => self.run_at_upstream(work, ticket),
             Event::Fetch { work, ticket } => self.fetch(work, ticket),
@@ -522,11 +520,94 @@
             }
             Event::FaultBegins(index) => self.fault_begins(*index),
             Event::FaultEnds(index) => self.fault_ends(*index),
-            Event::ConfigArrives(host, config) => {
-                if self.hosts[*host].alive && !self.put_off(*host, event) {
-                    self.step(*host, ShardInput::Config(Arc::clone(config)));
+            _ => self.handle_at_host(event),
+        }
+    }
+
+    /// Takes an event for one host, which may be dead, paused or replaced.
+    fn handle_at_host(&mut self, event: &Event) {
+        match event {
+            Event::Beat(run) if self.is_current(*run) && !self.put_off(run.host, event) => {
+                self.beat(*run);
+            }
+            Event::FromStore { to, call, result }
+                if self.is_current(*to) && !self.put_off(to.host, event) =>
+            {
+                self.step(
+                    to.host,
+                    ShardInput::Store {
+                        call: *call,
+                        result: result.clone(),
+                    },
+                );
+            }
+            Event::FromUpstream { to, call, result }
+                if self.is_current(*to) && !self.put_off(to.host, event) =>
+            {
+                self.step(
+                    to.host,
+                    ShardInput::Upstream {
+                        call: *call,
+                        result: result.clone(),
+                    },
+                );
+            }
+            Event::Heartbeat {
+                from,
+                to,
+                sent_ms,
+                heartbeat,
+            } if self.hosts[*to].alive && !self.put_off(*to, event) => {
+                self.heartbeat(*from, *to, *sent_ms, heartbeat);
+            }
+            Event::HeartbeatAnswer { to, sent_ms, reply }
+                if self.is_current(*to) && !self.put_off(to.host, event) =>
+            {
+                let now_ms = self.now_ms;
+                self.hosts[to.host]
+                    .members
+                    .receive_reply(now_ms, *sent_ms, reply);
+            }
+            Event::Command {
+                host,
+                work,
+                request,
+            } if self.hosts[*host].alive && !self.put_off(*host, event) => {
+                self.command(*host, CommandSource::Caller(work.clone()), request.clone());
+            }
+            Event::PeerCommand {
+                from,
+                call,
+                shard,
+                request,
+            } => {
+                let host = self.pick_owner(shard);
+                let cut = self.is_cut(|kind| {
+                    matches!(kind, FaultKind::PeerCut(one, other)
+                    if (*one, *other) == (from.host, host) || (*other, *one) == (from.host, host))
+                });
+                if self.hosts[host].alive && !cut && !self.put_off(host, event) {
+                    let source = CommandSource::Peer(*from, *call);
+                    self.command(host, source, request.clone());
                 }
             }
+            Event::FromPeer { to, call, result }
+                if self.is_current(*to) && !self.put_off(to.host, event) =>
+            {
+                self.step(
+                    to.host,
+                    ShardInput::Peer {
+                        call: *call,
+                        result: result.clone(),
+                    },
+                );
+            }
+            Event::ConfigArrives(host, config)
+                if self.hosts[*host].alive && !self.put_off(*host, event) =>
+            {
+                self.step(*host, ShardInput::Config(Arc::clone(config)));
+            }
+            _ => {}
         }
     }
 
@@ -732,7 +813,8 @@
             else {
                 continue;
             };
-            let host = self.pick_owner(&id);
+            let home = self.works[&id].home.clone();
+            let host = self.pick_owner(&home);
             let delay = self.delay();
             self.push(
                 delay,
@@ -745,9 +827,9 @@
         }
     }
 
-    /// Returns a host that takes itself for the owner of a work's home, or any host of its domain.
-    fn pick_owner(&mut self, work: &WorkId) -> usize {
-        let home = work.home().map(|home| home.to_string()).unwrap_or_default();
+    /// Returns a host that takes itself for the owner of a shard, or any host of its domain.
+    fn pick_owner(&mut self, home: &ShardName) -> usize {
+        let home = home.as_str();
         let near: Vec<usize> = (0..HOST_DOMAINS.len())
             .filter(|host| home.starts_with(HOST_DOMAINS[*host]))
             .collect();
@@ -759,11 +841,11 @@
         choice[self.random.random_range(0..choice.len())]
     }
 
-    fn command(&mut self, host: usize, work: &WorkId, request: ShardCommand) {
+    fn command(&mut self, host: usize, source: CommandSource, request: ShardCommand) {
         let sim = &mut self.hosts[host];
         sim.next_command += 1;
         let command = CommandId(sim.next_command);
-        sim.commands.insert(command, work.clone());
+        sim.commands.insert(command, source);
         self.step(host, ShardInput::Command { command, request });
     }
 
@@ -868,7 +950,8 @@
             attempt,
             end: AttemptEnd::Completed,
         });
-        let host = self.pick_owner(work);
+        let home = self.works[work].home.clone();
+        let host = self.pick_owner(&home);
         let delay = self.delay();
         self.push(
             delay,
@@ -988,98 +1071,6 @@
     }
 }
 
-fn set_out(config: &mut ApprovedConfig) {
-    set_domain(config, false);
-}
-
-fn set_in(config: &mut ApprovedConfig) {
-    set_domain(config, true);
-}
-
-fn set_domain(config: &mut ApprovedConfig, in_service: bool) {
-    let policy = DomainPolicy {
-        in_service,
-        shards: 1,
-        when_cut_off_s: 600,
-    };
-    config
-        .domains
-        .insert(DomainName::from("d1"), Arc::new(policy));
-}
-
-fn set_lower(config: &mut ApprovedConfig) {
-    set_limit(config, TEAM_CORES / 2);
-}
-
-fn set_whole(config: &mut ApprovedConfig) {
-    set_limit(config, TEAM_CORES);
-}
-
-fn set_limit(config: &mut ApprovedConfig, count: u64) {
-    let policy = TeamPolicy {
-        share: 1,
-        limit: cores(count),
-    };
-    config.teams.insert("team-0".into(), Arc::new(policy));
-    config
-        .section_revisions
-        .insert("team/team-0".into(), config.revision);
-}
-
-fn first_config() -> ApprovedConfig {
-    let mut config = ApprovedConfig {
-        revision: 1,
-        ..ApprovedConfig::default()
-    };
-    set_domain(&mut config, true);
-    let policy = DomainPolicy {
-        in_service: true,
-        shards: 1,
-        when_cut_off_s: 600,
-    };
-    config
-        .domains
-        .insert(DomainName::from("d2"), Arc::new(policy));
-    for team in ["team-0", "team-1"] {
-        let policy = TeamPolicy {
-            share: 1,
-            limit: cores(TEAM_CORES),
-        };
-        config.teams.insert(team.into(), Arc::new(policy));
-        config
-            .section_revisions
-            .insert(format!("team/{team}").into(), 1);
-    }
-    let queue = QueuePolicy {
-        open: true,
-        teams: Vec::new(),
-        max_waiting: 1000,
-        when_cut_off_s: 600,
-    };
-    config.queues.insert("queue".into(), Arc::new(queue));
-    let job = workload(1, WorkClass::Batch);
-    config.workloads.insert("job".into(), Arc::new(job));
-    for count in 1..6 {
-        let quick = workload(count, WorkClass::Urgent);
-        config
-            .workloads
-            .insert(format!("quick-{count}").into(), Arc::new(quick));
-    }
-    config
-}
-
-fn workload(count: u64, class: WorkClass) -> WorkloadPolicy {
-    WorkloadPolicy {
-        class,
-        queue: "queue".into(),
-        deadline_ms: 1000,
-        size: cores(count),
-        idempotent: true,
-        preemptible: false,
-        max_attempts: 3,
-    }
-}
-
 fn caller_work(index: usize, plan: &PlannedWork) -> CallerWork {
     let domain = if index.is_multiple_of(3) { "d2" } else { "d1" };
     let home = ShardName::from(format!("{domain}.0"));
