Divide the files that had grown past one job

Cause: control.rs, machine.rs, commands.rs, member_table.rs and the test world held several jobs each. Change: messages, lease keeping, acceptance, timing, callers and faults have files of their own; no behaviour changed.

--- a/crates/lagoonnotch/src/daemon/config_watch.rs
+++ b/crates/lagoonnotch/src/daemon/config_watch.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::daemon::ControlHandle;
-use crate::daemon::control::{HostsMessage, LogMessage, WatchTurn};
+use crate::daemon::control_messages::{HostsMessage, LogMessage, WatchTurn};
 use crate::document::LoggedDocument;
 use crate::event::EventCode;
 use crate::store::{StoreClient, StoreFault};
--- a/crates/lagoonnotch/src/daemon/effect_runner.rs
+++ b/crates/lagoonnotch/src/daemon/effect_runner.rs
@@ -8,7 +8,7 @@
 use tokio::runtime::Handle;
 
 use crate::daemon::ControlHandle;
-use crate::daemon::control::ShardMessage;
+use crate::daemon::control_messages::ShardMessage;
 use crate::dispatch::UpstreamClient;
 use crate::entry::ShardRouter;
 use crate::model::ShardName;
--- a/crates/lagoonnotch/src/daemon/gossip.rs
+++ b/crates/lagoonnotch/src/daemon/gossip.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::daemon::control::{BeatAnswerMessage, BeatMessage, DocumentsMessage};
+use crate::daemon::control_messages::{BeatAnswerMessage, BeatMessage, DocumentsMessage};
 use crate::daemon::{CellView, ControlHandle};
 use crate::peer::{Heartbeat, PeerClients};
 
--- a/crates/lagoonnotch/src/daemon/host_daemon.rs
+++ b/crates/lagoonnotch/src/daemon/host_daemon.rs
@@ -15,7 +15,7 @@
 
 use crate::admission::RetryBudget;
 use crate::daemon::config_watch::{poll_hosts, watch_documents};
-use crate::daemon::control::{ReleasedQuestion, ShutdownMessage, TickMessage};
+use crate::daemon::control_messages::{ReleasedQuestion, ShutdownMessage, TickMessage};
 use crate::daemon::effect_runner::EffectRunner;
 use crate::daemon::gossip::send_heartbeats;
 use crate::daemon::peer_server::PeerServer;
--- a/crates/lagoonnotch/src/daemon/mod.rs
+++ b/crates/lagoonnotch/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod cell_view;
 mod config_watch;
 mod control;
+mod control_messages;
 mod effect_runner;
 mod gossip;
 mod host_clock;
@@ -12,7 +13,7 @@
 pub use cell_view::{CellView, OwnerRoute, RouteTarget};
 pub(crate) use config_watch::{log_key, read_log};
 pub use control::{ControlActor, ControlHandle};
-pub(crate) use control::{DocumentVerdict, PreviewMessage};
+pub(crate) use control_messages::{DocumentVerdict, PreviewMessage};
 pub use host_clock::HostClock;
 pub use host_daemon::{HostDaemon, HostListeners};
 pub(crate) use peer_server::command_here;
--- a/crates/lagoonnotch/src/daemon/peer_server.rs
+++ b/crates/lagoonnotch/src/daemon/peer_server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::daemon::ControlHandle;
-use crate::daemon::control::{CommandMessage, DocumentsWanted, HeartbeatMessage};
+use crate::daemon::control_messages::{CommandMessage, DocumentsWanted, HeartbeatMessage};
 use crate::document::LedgerSnapshot;
 use crate::model::ShardName;
 use crate::peer::{Heartbeat, HeartbeatReply, PeerService, RelayFault};
--- /dev/null
+++ b/crates/lagoonnotch/src/peer/member_timing.rs
@@ -0,0 +1,47 @@
+//! Times and bounds of gossip.
+
+/// Times of membership, in milliseconds, and bounds of its messages.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberTiming {
+    /// Time between two heartbeats.
+    pub heartbeat_ms: u64,
+    /// Age up to which what was heard counts as fresh.
+    pub fresh_ms: u64,
+    /// Time for which a promise holds.
+    pub promise_ms: u64,
+    /// Allowance for clocks that run at different speeds.
+    pub drift_margin_ms: u64,
+    /// Silence after which a host is forgotten while the store answers.
+    pub forget_ms: u64,
+    /// Number of hosts of other failure domains that each heartbeat goes to.
+    pub fanout: usize,
+    /// Number of heartbeats of which one goes to the hosts of the own failure domain, when this
+    /// host owns no shard; an owner sends them every one, since it needs their promises.
+    pub near_every: u64,
+    /// Most records of other hosts in one answer.
+    pub records: usize,
+    /// Most records in the answer to a host that was not known.
+    pub welcome_records: usize,
+    /// Number of heartbeats of which one tells what runs for teams.
+    pub summary_every: u64,
+    /// Most teams that one heartbeat tells of.
+    pub summary_teams: usize,
+}
+
+impl Default for MemberTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 400,
+            fresh_ms: 3000,
+            promise_ms: 3000,
+            drift_margin_ms: 300,
+            forget_ms: 15_000,
+            fanout: 1,
+            near_every: 3,
+            records: 1,
+            welcome_records: 16,
+            summary_every: 5,
+            summary_teams: 16,
+        }
+    }
+}
--- a/crates/lagoonnotch/src/shard/machine.rs
+++ b/crates/lagoonnotch/src/shard/machine.rs
@@ -10,7 +10,7 @@
 use crate::event::EventCode;
 use crate::journal::ShardKeys;
 use crate::model::{DomainName, HostName, ShardName, UpstreamName};
-use crate::shard::claim::{ClaimState, OwnerRecord};
+use crate::shard::claim::ClaimState;
 use crate::shard::effect_desk::{CallPurpose, EffectDesk};
 use crate::shard::messages::{
     CallFault, CallId, CommandId, PeerView, Refusal, RefusalCode, ShardCommand, ShardEffect,
@@ -361,102 +361,6 @@
         self.hosts = Some(hosts);
     }
 
-    fn lease_renewed(&mut self, now_ms: u64, sent_ms: u64, result: &Result<StoreReply, CallFault>) {
-        match result {
-            Ok(StoreReply::Lease { .. }) => self.lease.extend(sent_ms, &self.timing),
-            Ok(_) => {
-                self.lease.lose(now_ms, &self.timing);
-                if !matches!(
-                    self.phase,
-                    OwnershipPhase::Owning | OwnershipPhase::Releasing
-                ) {
-                    self.step_down(now_ms, "the lease ran out during the take-over");
-                }
-            }
-            Err(CallFault) => {
-                self.desk.event(
-                    EventCode::StoreLost,
-                    format!("shard {}", self.identity.shard),
-                );
-                self.lease.delay(now_ms, &self.timing);
-            }
-        }
-    }
-
-    fn lease_regranted(&mut self, now_ms: u64, result: &Result<StoreReply, CallFault>) {
-        match result {
-            Ok(StoreReply::Lease { lease }) => self.put_owner_again(now_ms, *lease),
-            _ => self.lease.delay(now_ms, &self.timing),
-        }
-    }
-
-    fn put_owner_again(&mut self, now_ms: u64, lease: u64) {
-        let request = self.owner_put(lease);
-        self.desk.call_store(
-            request,
-            CallPurpose::ReclaimOwner {
-                lease,
-                sent_ms: now_ms,
-            },
-        );
-    }
-
-    fn owner_reclaimed(
-        &mut self,
-        now_ms: u64,
-        lease: u64,
-        sent_ms: u64,
-        result: &Result<StoreReply, CallFault>,
-    ) {
-        match result {
-            Ok(StoreReply::Written { .. }) => self.check_epoch(lease, sent_ms),
-            Ok(StoreReply::Conflict { entry: Some(entry) }) => {
-                if OwnerRecord::parse(&entry.value)
-                    .is_some_and(|record| record.is_of(&self.identity))
-                {
-                    self.check_epoch(lease, sent_ms);
-                } else {
-                    self.step_down(now_ms, "another host owns the shard");
-                }
-            }
-            Ok(_) => self.lease.delay(now_ms, &self.timing),
-            Err(CallFault) => self.put_owner_again(now_ms, lease),
-        }
-    }
-
-    fn check_epoch(&mut self, lease: u64, sent_ms: u64) {
-        let request = StoreCall::Get {
-            key: self.keys.epoch(),
-        };
-        self.desk
-            .call_store(request, CallPurpose::CheckEpoch { lease, sent_ms });
-    }
-
-    fn epoch_checked(
-        &mut self,
-        now_ms: u64,
-        lease: u64,
-        sent_ms: u64,
-        result: &Result<StoreReply, CallFault>,
-    ) {
-        let epoch = self.owner.as_ref().map(OwnerState::epoch);
-        match result {
-            Ok(StoreReply::Value { entry: Some(entry) }) => {
-                let newest = OwnerRecord::parse(&entry.value).map(|record| record.epoch);
-                if newest == epoch {
-                    self.lease.grant(lease, sent_ms, &self.timing);
-                    self.desk.event(
-                        EventCode::LeaseReclaimed,
-                        format!("shard {}", self.identity.shard),
-                    );
-                } else {
-                    self.step_down(now_ms, "a newer epoch exists");
-                }
-            }
-            _ => self.lease.delay(now_ms, &self.timing),
-        }
-    }
-
     fn begin_shutdown(&mut self, now_ms: u64) {
         self.release_until_ms = now_ms + self.timing.release_ms;
         if self.phase == OwnershipPhase::Owning {
--- a/crates/lagoonnotch/src/shard/mod.rs
+++ b/crates/lagoonnotch/src/shard/mod.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod owner;
 mod phase;
+mod reclaim;
 mod store_lease;
 mod timing;
 
--- a/crates/lagoonnotch/src/shard/owner/mod.rs
+++ b/crates/lagoonnotch/src/shard/owner/mod.rs
@@ -1,5 +1,6 @@
 //! What an owner knows and decides.
 
+mod acceptance;
 mod allotments;
 mod commands;
 mod commits;
--- a/crates/lagoonnotch/tests/promises/main.rs
+++ b/crates/lagoonnotch/tests/promises/main.rs
@@ -3,8 +3,10 @@
 //! Several owners, one store model and a few upstream models run in virtual time; the upstreams'
 //! records are the judges. `PROPTEST_CASES` sets the number of histories.
 
+mod callers;
 mod cell_config;
 mod entry_model;
 mod history;
 mod shard_promises;
 mod world;
+mod world_faults;
--- a/crates/lagoonnotch/tests/promises/world.rs
+++ b/crates/lagoonnotch/tests/promises/world.rs
@@ -4,16 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use lagoonnotch::document::{ApprovedConfig, WorkClass};
-use lagoonnotch::model::{AttemptId, TaskId};
+use lagoonnotch::document::ApprovedConfig;
 use lagoonnotch::model::{DomainName, ShardName, WorkId};
 use lagoonnotch::peer::{
     Heartbeat, HeartbeatReply, MemberRecord, MemberState, MemberTable, MemberTiming, OwnedShard,
 };
 use lagoonnotch::shard::{
-    AttemptEnd, AttemptReport, AttemptTicket, CallFault, CallId, CommandId, OwnershipPhase,
-    ShardCommand, ShardEffect, ShardIdentity, ShardInput, ShardMachine, ShardReply, ShardTiming,
-    UpstreamCall, UpstreamReply,
+    AttemptTicket, CallFault, CallId, CommandId, ShardCommand, ShardEffect, ShardIdentity,
+    ShardInput, ShardMachine, ShardReply, ShardTiming, UpstreamCall, UpstreamReply,
 };
 use lagoonnotch_standin::{RunRecord, StoreModel, TaskAnswer, UpstreamModel};
 use lagoonnotch_wire::store::{StoreCall, StoreReply};
@@ -23,38 +21,38 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::cell_config::{cores, first_config, set_in, set_lower, set_out, set_whole};
-use crate::entry_model::{CallerKnows, CallerWork, CallerWorks, REQUEST_MS};
-use crate::history::{Fault, FaultKind, History, PlannedWork};
+use crate::cell_config::{cores, first_config};
+use crate::entry_model::{CallerWork, CallerWorks};
+use crate::history::{FaultKind, History, PlannedWork};
 
 pub const HEAL_MS: u64 = 45_000;
 pub const END_MS: u64 = 110_000;
-const START_MS: u64 = 1_000_000;
-const TICK_MS: u64 = 50;
+pub(crate) const START_MS: u64 = 1_000_000;
+pub(crate) const TICK_MS: u64 = 50;
 const BEAT_MS: u64 = 400;
 const CALL_TIMEOUT_MS: u64 = 800;
 const PEER_TIMEOUT_MS: u64 = 3000;
-const CONFIG_DELAY_MS: u64 = 1000;
+pub(crate) const CONFIG_DELAY_MS: u64 = 1000;
 const LIST_LAG_MS: u64 = 1000;
 const HOST_DOMAINS: [&str; 3] = ["d1", "d1", "d2"];
 const UPSTREAM_DOMAINS: [&str; 4] = ["d1", "d1", "d1", "d2"];
 const UPSTREAM_CORES: u64 = 8;
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct EventKey {
-    at_ms: u64,
-    sequence: u64,
+pub(crate) struct EventKey {
+    pub(crate) at_ms: u64,
+    pub(crate) sequence: u64,
 }
 
 /// A host and the run of it that an event is for.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct HostRun {
-    host: usize,
-    incarnation: u64,
+pub(crate) struct HostRun {
+    pub(crate) host: usize,
+    pub(crate) incarnation: u64,
 }
 
 #[derive(Clone, Debug)]
-enum Event {
+pub(crate) enum Event {
     Tick,
     Beat(HostRun),
     ToStore {
@@ -128,26 +126,26 @@
 
 /// Who waits for the reply to a command.
 #[derive(Clone, Debug)]
-enum CommandSource {
+pub(crate) enum CommandSource {
     Caller(WorkId),
     Peer(HostRun, CallId),
 }
 
-struct SimHost {
-    machine: ShardMachine,
-    members: MemberTable,
-    incarnation: u64,
-    alive: bool,
-    paused_until_ms: u64,
-    commands: BTreeMap<CommandId, CommandSource>,
-    next_command: u64,
+pub(crate) struct SimHost {
+    pub(crate) machine: ShardMachine,
+    pub(crate) members: MemberTable,
+    pub(crate) incarnation: u64,
+    pub(crate) alive: bool,
+    pub(crate) paused_until_ms: u64,
+    pub(crate) commands: BTreeMap<CommandId, CommandSource>,
+    pub(crate) next_command: u64,
 }
 
-struct SimUpstream {
-    model: UpstreamModel,
-    entry: HostEntry,
-    down: bool,
-    leaving_since_ms: Option<u64>,
+pub(crate) struct SimUpstream {
+    pub(crate) model: UpstreamModel,
+    pub(crate) entry: HostEntry,
+    pub(crate) down: bool,
+    pub(crate) leaving_since_ms: Option<u64>,
 }
 
 /// A domain or an upstream in which nothing may start during a time.
@@ -159,19 +157,19 @@
 }
 
 pub struct World {
-    now_ms: u64,
-    events: BTreeMap<EventKey, Event>,
-    sequence: u64,
-    random: StdRng,
-    history: History,
-    active: Vec<bool>,
-    store: StoreModel,
-    hosts: Vec<SimHost>,
-    upstreams: Vec<SimUpstream>,
-    config: Arc<ApprovedConfig>,
-    next_incarnation: u64,
+    pub(crate) now_ms: u64,
+    pub(crate) events: BTreeMap<EventKey, Event>,
+    pub(crate) sequence: u64,
+    pub(crate) random: StdRng,
+    pub(crate) history: History,
+    pub(crate) active: Vec<bool>,
+    pub(crate) store: StoreModel,
+    pub(crate) hosts: Vec<SimHost>,
+    pub(crate) upstreams: Vec<SimUpstream>,
+    pub(crate) config: Arc<ApprovedConfig>,
+    pub(crate) next_incarnation: u64,
     /// What happened, for the reader of a failed test.
-    story: Vec<String>,
+    pub(crate) story: Vec<String>,
     pub works: CallerWorks,
     pub closed: Vec<ClosedTime>,
 }
@@ -276,12 +274,12 @@
         lines.join("\n")
     }
 
-    fn note(&mut self, line: &str) {
+    pub(crate) fn note(&mut self, line: &str) {
         self.story
             .push(format!("{:6} {line}", self.now_ms - START_MS));
     }
 
-    fn push(&mut self, after_ms: u64, event: Event) {
+    pub(crate) fn push(&mut self, after_ms: u64, event: Event) {
         self.sequence += 1;
         let key = EventKey {
             at_ms: self.now_ms + after_ms,
@@ -290,17 +288,17 @@
         self.events.insert(key, event);
     }
 
-    fn random_loss_ends(&mut self) {
+    pub(crate) fn random_loss_ends(&mut self) {
         self.history.lost_answers = 0;
         self.history.delay_ms = 5;
     }
 
-    fn chance(&mut self, percent: u32) -> bool {
+    pub(crate) fn chance(&mut self, percent: u32) -> bool {
         self.random.random_range(0..100) < percent
     }
 
     /// Returns the delay of a message; a few take much longer than the others.
-    fn delay(&mut self) -> u64 {
+    pub(crate) fn delay(&mut self) -> u64 {
         let delay = self.random.random_range(1..=self.history.delay_ms);
         let slow = self.now_ms < START_MS + HEAL_MS && self.chance(2);
         if slow {
@@ -310,7 +308,7 @@
         }
     }
 
-    fn new_host(&mut self, host: usize) -> SimHost {
+    pub(crate) fn new_host(&mut self, host: usize) -> SimHost {
         let incarnation = self.next_incarnation;
         self.next_incarnation += 1;
         let domain = DomainName::from(HOST_DOMAINS[host]);
@@ -354,26 +352,26 @@
     }
 
     /// Gives a new host its configuration and the list of upstreams.
-    fn welcome(&mut self, host: usize) {
+    pub(crate) fn welcome(&mut self, host: usize) {
         let config = Arc::clone(&self.config);
         self.step(host, ShardInput::Config(config));
         let run = self.run_of(host);
         self.push(1, Event::Beat(run));
     }
 
-    fn run_of(&self, host: usize) -> HostRun {
+    pub(crate) fn run_of(&self, host: usize) -> HostRun {
         HostRun {
             host,
             incarnation: self.hosts[host].incarnation,
         }
     }
 
-    fn is_current(&self, run: HostRun) -> bool {
+    pub(crate) fn is_current(&self, run: HostRun) -> bool {
         self.hosts[run.host].alive && self.hosts[run.host].incarnation == run.incarnation
     }
 
     /// Puts an event for a paused host off; returns whether it did.
-    fn put_off(&mut self, host: usize, event: &Event) -> bool {
+    pub(crate) fn put_off(&mut self, host: usize, event: &Event) -> bool {
         let until_ms = self.hosts[host].paused_until_ms;
         if self.now_ms >= until_ms {
             return false;
@@ -382,14 +380,14 @@
         true
     }
 
-    fn step(&mut self, host: usize, input: ShardInput) {
+    pub(crate) fn step(&mut self, host: usize, input: ShardInput) {
         let effects = self.hosts[host].machine.step(self.now_ms, input);
         for effect in effects {
             self.carry_out(host, effect);
         }
     }
 
-    fn carry_out(&mut self, host: usize, effect: ShardEffect) {
+    pub(crate) fn carry_out(&mut self, host: usize, effect: ShardEffect) {
         let from = self.run_of(host);
         match effect {
             ShardEffect::Store { call, request } => {
@@ -487,7 +485,7 @@
         }
     }
 
-    fn handle(&mut self, event: &Event) {
+    pub(crate) fn handle(&mut self, event: &Event) {
         match event {
             Event::Tick => self.tick(),
             Event::ToStore {
@@ -525,7 +523,7 @@
     }
 
     /// Takes an event for one host, which may be dead, paused or replaced.
-    fn handle_at_host(&mut self, event: &Event) {
+    pub(crate) fn handle_at_host(&mut self, event: &Event) {
         match event {
             Event::Beat(run) if self.is_current(*run) && !self.put_off(run.host, event) => {
                 self.beat(*run);
@@ -611,7 +609,7 @@
         }
     }
 
-    fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         for host in 0..self.hosts.len() {
             let sim = &self.hosts[host];
             if sim.alive && self.now_ms >= sim.paused_until_ms {
@@ -622,7 +620,7 @@
         self.push(TICK_MS, Event::Tick);
     }
 
-    fn tick_host(&mut self, host: usize) {
+    pub(crate) fn tick_host(&mut self, host: usize) {
         let now_ms = self.now_ms;
         let hosts = self.listed();
         let shard = ShardName::from(format!("{}.0", HOST_DOMAINS[host]));
@@ -637,7 +635,7 @@
     }
 
     /// Returns the platform's list, which shows a leaving or dead upstream late.
-    fn listed(&self) -> Vec<HostEntry> {
+    pub(crate) fn listed(&self) -> Vec<HostEntry> {
         let visible = self.upstreams.iter().map(|upstream| {
             let since = upstream
                 .leaving_since_ms
@@ -655,7 +653,7 @@
         visible.collect()
     }
 
-    fn beat(&mut self, run: HostRun) {
+    pub(crate) fn beat(&mut self, run: HostRun) {
         let now_ms = self.now_ms;
         self.refresh_record(run.host);
         let members = &mut self.hosts[run.host].members;
@@ -682,7 +680,7 @@
         self.push(BEAT_MS, Event::Beat(run));
     }
 
-    fn refresh_record(&mut self, host: usize) {
+    pub(crate) fn refresh_record(&mut self, host: usize) {
         let now_ms = self.now_ms;
         let sim = &mut self.hosts[host];
         let shard = ShardName::from(format!("{}.0", HOST_DOMAINS[host]));
@@ -695,7 +693,13 @@
         sim.members.me_mut().shards = owned.into_iter().collect();
     }
 
-    fn heartbeat(&mut self, from: HostRun, to: usize, sent_ms: u64, heartbeat: &Heartbeat) {
+    pub(crate) fn heartbeat(
+        &mut self,
+        from: HostRun,
+        to: usize,
+        sent_ms: u64,
+        heartbeat: &Heartbeat,
+    ) {
         let now_ms = self.now_ms;
         let sim = &mut self.hosts[to];
         let machine = &sim.machine;
@@ -718,14 +722,14 @@
         );
     }
 
-    fn is_cut(&self, test: impl Fn(&FaultKind) -> bool) -> bool {
+    pub(crate) fn is_cut(&self, test: impl Fn(&FaultKind) -> bool) -> bool {
         let faults = self.history.faults.iter().zip(&self.active);
         faults
             .into_iter()
             .any(|(fault, active)| *active && test(&fault.kind))
     }
 
-    fn at_store(&mut self, from: HostRun, call: CallId, request: &StoreCall) {
+    pub(crate) fn at_store(&mut self, from: HostRun, call: CallId, request: &StoreCall) {
         let unreachable = self.is_cut(|kind| {
             matches!(kind, FaultKind::StoreDown)
                 || matches!(kind, FaultKind::StoreCut(host) if *host == from.host)
@@ -748,7 +752,13 @@
         }
     }
 
-    fn at_upstream(&mut self, from: HostRun, call: CallId, index: usize, request: &UpstreamCall) {
+    pub(crate) fn at_upstream(
+        &mut self,
+        from: HostRun,
+        call: CallId,
+        index: usize,
+        request: &UpstreamCall,
+    ) {
         let cut = self.is_cut(|kind| {
             matches!(kind, FaultKind::UpstreamCut(host, upstream)
             if (*host, *upstream) == (from.host, index))
@@ -788,47 +798,8 @@
         );
     }
 
-    fn schedule_end(&mut self, upstream: usize, task: &str, attempt: u64) {
-        let work = TaskId::parse(task).and_then(|task| self.works.get(&task.work));
-        let Some(plan) = work.map(|work| work.plan.clone()) else {
-            return;
-        };
-        if plan.class != WorkClass::Service {
-            let attempt = AttemptRef {
-                task: task.to_owned(),
-                attempt,
-            };
-            self.push(plan.run_ms, Event::TaskEnd { upstream, attempt });
-        }
-    }
-
-    fn callers_act(&mut self) {
-        let now_ms = self.now_ms - START_MS;
-        let ids: Vec<WorkId> = self.works.keys().cloned().collect();
-        for id in ids {
-            let Some(request) = self
-                .works
-                .get_mut(&id)
-                .and_then(|work| work.next_command(now_ms))
-            else {
-                continue;
-            };
-            let home = self.works[&id].home.clone();
-            let host = self.pick_owner(&home);
-            let delay = self.delay();
-            self.push(
-                delay,
-                Event::Command {
-                    host,
-                    work: id,
-                    request,
-                },
-            );
-        }
-    }
-
     /// Returns a host that takes itself for the owner of a shard, or any host of its domain.
-    fn pick_owner(&mut self, home: &ShardName) -> usize {
+    pub(crate) fn pick_owner(&mut self, home: &ShardName) -> usize {
         let home = home.as_str();
         let near: Vec<usize> = (0..HOST_DOMAINS.len())
             .filter(|host| home.starts_with(HOST_DOMAINS[*host]))
@@ -841,234 +812,13 @@
         choice[self.random.random_range(0..choice.len())]
     }
 
-    fn command(&mut self, host: usize, source: CommandSource, request: ShardCommand) {
+    pub(crate) fn command(&mut self, host: usize, source: CommandSource, request: ShardCommand) {
         let sim = &mut self.hosts[host];
         sim.next_command += 1;
         let command = CommandId(sim.next_command);
         sim.commands.insert(command, source);
         self.step(host, ShardInput::Command { command, request });
     }
-
-    fn reply(&mut self, work: &WorkId, reply: ShardReply) {
-        let now_ms = self.now_ms - START_MS;
-        let Some(entry) = self.works.get_mut(work) else {
-            return;
-        };
-        let Some(ticket) = entry.take_reply(reply) else {
-            return;
-        };
-        if entry.running || now_ms > entry.plan.at_ms + REQUEST_MS {
-            return;
-        }
-        entry.running = true;
-        let delay = self.delay();
-        let work = work.clone();
-        let event = if ticket.started {
-            Event::Fetch { work, ticket }
-        } else {
-            Event::Run { work, ticket }
-        };
-        self.push(delay, event);
-    }
-
-    fn run_at_upstream(&mut self, work: &WorkId, ticket: &AttemptTicket) {
-        let index: usize = ticket.address.parse().expect("the address is an index");
-        if self.upstreams[index].down || self.chance(3) {
-            return self.attempt_fails(work, ticket, true);
-        }
-        match self.upstreams[index]
-            .model
-            .start(self.now_ms, &ticket.ticket)
-        {
-            StartOutcome::Started => {
-                self.schedule_end(index, &ticket.ticket.task, ticket.ticket.attempt);
-            }
-            StartOutcome::AlreadyKnown => {}
-            _ => return self.attempt_fails(work, ticket, false),
-        }
-        self.push(
-            20,
-            Event::Fetch {
-                work: work.clone(),
-                ticket: ticket.clone(),
-            },
-        );
-    }
-
-    /// Waits for the end of an attempt and takes its answer to the caller.
-    fn fetch(&mut self, work: &WorkId, ticket: &AttemptTicket) {
-        let index: usize = ticket.address.parse().expect("the address is an index");
-        let attempt = AttemptRef {
-            task: ticket.ticket.task.clone(),
-            attempt: ticket.ticket.attempt,
-        };
-        if self.upstreams[index].down || self.chance(1) {
-            return self.attempt_fails(work, ticket, true);
-        }
-        let now_ms = self.now_ms;
-        let model = &mut self.upstreams[index].model;
-        model.expire(now_ms);
-        match model.answer(&attempt) {
-            Some((FinishOutcome::Completed, _)) => self.answered(work, ticket),
-            None if model.is_running(&attempt) => {
-                self.push(
-                    20,
-                    Event::Fetch {
-                        work: work.clone(),
-                        ticket: ticket.clone(),
-                    },
-                );
-            }
-            _ => self.attempt_fails(work, ticket, true),
-        }
-    }
-
-    fn attempt_fails(&mut self, work: &WorkId, ticket: &AttemptTicket, unclear: bool) {
-        if let Some(entry) = self.works.get_mut(work) {
-            entry.running = false;
-            entry.may_have_run |= unclear;
-            entry.failed_attempt = Some(ticket.ticket.attempt);
-        }
-    }
-
-    fn answered(&mut self, work: &WorkId, ticket: &AttemptTicket) {
-        let Some(entry) = self.works.get_mut(work) else {
-            return;
-        };
-        entry.running = false;
-        if entry.knows == CallerKnows::Nothing {
-            entry.knows = CallerKnows::Answered;
-        }
-        let Some(task) = TaskId::parse(&ticket.ticket.task) else {
-            return;
-        };
-        let attempt = AttemptId {
-            task,
-            number: ticket.ticket.attempt,
-        };
-        let request = ShardCommand::Report(AttemptReport {
-            attempt,
-            end: AttemptEnd::Completed,
-        });
-        let home = self.works[work].home.clone();
-        let host = self.pick_owner(&home);
-        let delay = self.delay();
-        self.push(
-            delay,
-            Event::Command {
-                host,
-                work: work.clone(),
-                request,
-            },
-        );
-    }
-
-    fn fault_begins(&mut self, index: usize) {
-        let Fault { for_ms, kind, .. } = self.history.faults[index].clone();
-        self.active[index] = true;
-        self.note(&format!("{kind:?} for {for_ms} ms"));
-        let now_ms = self.now_ms;
-        match kind {
-            FaultKind::Crash(host) => self.hosts[host].alive = false,
-            FaultKind::Pause(host) => self.hosts[host].paused_until_ms = now_ms + for_ms,
-            FaultKind::Restart(host) if self.hosts[host].alive => {
-                self.hosts[host].members.me_mut().state = MemberState::Leaving;
-                self.step(host, ShardInput::Shutdown);
-            }
-            FaultKind::UpstreamRestart(upstream) => self.upstreams[upstream].model.restart(now_ms),
-            FaultKind::UpstreamDown(upstream) => {
-                self.upstreams[upstream].model.restart(now_ms);
-                self.upstreams[upstream].down = true;
-            }
-            FaultKind::Leaving(upstream) => {
-                self.upstreams[upstream].leaving_since_ms = Some(now_ms);
-            }
-            FaultKind::DomainOut => self.change_config(set_out),
-            FaultKind::LimitLowered => self.change_config(set_lower),
-            _ => {}
-        }
-    }
-
-    fn fault_ends(&mut self, index: usize) {
-        let kind = self.history.faults[index].kind.clone();
-        self.active[index] = false;
-        let still =
-            self.is_cut(|other| std::mem::discriminant(other) == std::mem::discriminant(&kind));
-        match kind {
-            FaultKind::Crash(host) => self.replace(host),
-            FaultKind::Restart(host) => {
-                if !self.hosts[host].alive
-                    || self.hosts[host].machine.phase() == OwnershipPhase::Stopped
-                {
-                    self.replace(host);
-                } else {
-                    self.push(TICK_MS, Event::FaultEnds(index));
-                }
-            }
-            FaultKind::UpstreamDown(upstream) => self.upstreams[upstream].down = false,
-            FaultKind::Leaving(upstream) => self.upstream_stays(upstream),
-            FaultKind::DomainOut if !still => self.change_config(set_in),
-            FaultKind::LimitLowered if !still => self.change_config(set_whole),
-            _ => {}
-        }
-    }
-
-    /// Starts a new run of a host.
-    fn replace(&mut self, host: usize) {
-        self.hosts[host] = self.new_host(host);
-        self.welcome(host);
-    }
-
-    fn upstream_stays(&mut self, upstream: usize) {
-        let until_ms = self.now_ms;
-        let upstream = &mut self.upstreams[upstream];
-        if let Some(from_ms) = upstream.leaving_since_ms.take() {
-            let upstreams = vec![upstream.entry.name.clone()];
-            self.closed.push(ClosedTime {
-                upstreams,
-                from_ms,
-                until_ms,
-            });
-        }
-    }
-
-    /// Puts a changed configuration into force on every host within the promised time.
-    fn change_config(&mut self, change: fn(&mut ApprovedConfig)) {
-        let was_out = !self.config.in_service(&DomainName::from("d1"));
-        let mut config = ApprovedConfig::clone(&self.config);
-        config.revision += 1;
-        change(&mut config);
-        let is_out = !config.in_service(&DomainName::from("d1"));
-        self.config = Arc::new(config);
-        self.note_domain(was_out, is_out);
-        for host in 0..self.hosts.len() {
-            let delay = self.random.random_range(1..CONFIG_DELAY_MS);
-            let config = Arc::clone(&self.config);
-            self.push(delay, Event::ConfigArrives(host, config));
-        }
-    }
-
-    fn note_domain(&mut self, was_out: bool, is_out: bool) {
-        if !was_out && is_out {
-            let near = self
-                .upstreams
-                .iter()
-                .filter(|upstream| upstream.entry.failure_domain == "d1");
-            let upstreams = near.map(|upstream| upstream.entry.name.clone()).collect();
-            self.closed.push(ClosedTime {
-                upstreams,
-                from_ms: self.now_ms,
-                until_ms: u64::MAX,
-            });
-        } else if was_out && !is_out {
-            let now_ms = self.now_ms;
-            let open = self
-                .closed
-                .iter_mut()
-                .filter(|closed| closed.until_ms == u64::MAX);
-            open.for_each(|closed| closed.until_ms = now_ms);
-        }
-    }
 }
 
 fn caller_work(index: usize, plan: &PlannedWork) -> CallerWork {
