Try seven sequences of two faults at once

Cause: random histories seldom put two given faults at the same moment. Change: fixed sequences under five message orders each: a paused owner with lost answers, a dead owner with a cut-off successor, a dead peer in a store outage, a dead owner during a hand-over, a restarted upstream under a paused owner, a lowered limit with a cut-off shard, both hosts of a domain dead. Conclusion: kept as regression tests.

--- a/crates/lagoonnotch/tests/promises/main.rs
+++ b/crates/lagoonnotch/tests/promises/main.rs
@@ -8,5 +8,6 @@
 mod entry_model;
 mod history;
 mod shard_promises;
+mod two_faults;
 mod world;
 mod world_faults;
--- a/crates/lagoonnotch/tests/promises/shard_promises.rs
+++ b/crates/lagoonnotch/tests/promises/shard_promises.rs
@@ -15,7 +15,7 @@
 /// Time after which a change that the operators or the platform made must be obeyed, in milliseconds.
 const OBEYED_MS: u64 = 5000;
 
-fn verdict(world: &World) -> RunVerdict {
+pub(crate) fn verdict(world: &World) -> RunVerdict {
     let mut judge = RunJudge::new(&world.host_entries());
     let limit: ResourceSize = cores(TEAM_CORES).into();
     judge.limits = ["team-0", "team-1"]
@@ -35,7 +35,7 @@
 }
 
 /// Returns the accepted jobs that neither ended well nor are truly unknown.
-fn lost_jobs(world: &World) -> BTreeMap<String, String> {
+pub(crate) fn lost_jobs(world: &World) -> BTreeMap<String, String> {
     let records = world.records();
     let accepted = world.works.values().filter(|work| !work.plan.quick);
     let lost = accepted.filter_map(|work| {
