--- a/crates/lagoonnotch/tests/daemon/cell.rs
+++ b/crates/lagoonnotch/tests/daemon/cell.rs
@@ -19,6 +19,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::time::sleep;
 
 /// Number of looks before a test gives up; far beyond what any test needs.
@@ -30,9 +31,29 @@
 pub const KEY: &str = "key-of-team-one";
 pub const OTHER_KEY: &str = "key-of-team-two";
 
+/// A daemon on a runtime of its own, as in a process of its own.
 pub struct TestHost {
     pub settings: HostSettings,
-    pub daemon: HostDaemon,
+    daemon: Option<HostDaemon>,
+    runtime: Option<Runtime>,
+}
+
+impl TestHost {
+    /// Shuts the daemon down gracefully, and then ends everything that it left running.
+    pub async fn exit(mut self) {
+        if let Some(daemon) = self.daemon.take() {
+            daemon.shut_down().await;
+        }
+    }
+}
+
+impl Drop for TestHost {
+    fn drop(&mut self) {
+        drop(self.daemon.take());
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 pub struct TestCell {
@@ -122,8 +143,18 @@
                 ..RequestLimits::default()
             },
         };
-        let daemon = HostDaemon::start(settings.clone(), listeners).expect("the daemon starts");
-        self.hosts.push(TestHost { settings, daemon });
+        let runtime = Runtime::new().expect("a runtime can be started");
+        let started = settings.clone();
+        let daemon = runtime.spawn(async move { HostDaemon::start(started, listeners) });
+        let daemon = daemon
+            .await
+            .expect("the start does not panic")
+            .expect("the daemon starts");
+        self.hosts.push(TestHost {
+            settings,
+            daemon: Some(daemon),
+            runtime: Some(runtime),
+        });
     }
 
     /// Puts a document into force and returns the answer.
--- a/crates/lagoonnotch/tests/daemon/faults.rs
+++ b/crates/lagoonnotch/tests/daemon/faults.rs
@@ -54,8 +54,7 @@
     }
     wait_for_runs(&cell, OPEN_REQUESTS).await;
 
-    let leaving = cell.hosts.remove(0);
-    leaving.daemon.shut_down().await;
+    cell.hosts.remove(0).exit().await;
 
     while let Some(statuses) = requests.join_next().await {
         let statuses = statuses.expect("the requests do not panic");
