--- a/crates/lagoonnotch/src/document/config_ledger.rs
+++ b/crates/lagoonnotch/src/document/config_ledger.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Returns the logged document of a name, if it is still kept.
+    /// Returns the log's entry of a signed document, if it is still kept.
     #[must_use]
     pub fn find(&self, signed: &SignedDocument) -> Option<&LoggedDocument> {
         self.recent.iter().find(|logged| logged.signed == *signed)
--- a/crates/lagoonnotch/src/peer/member_table.rs
+++ b/crates/lagoonnotch/src/peer/member_table.rs
@@ -244,7 +244,7 @@
         } else {
             oldest
         };
-        let known_ms = all_heard_ms.max(self.domain_watched_ms(now_ms));
+        let known_ms = all_heard_ms.max(self.domain_watched_ms());
         let stale = now_ms > known_ms + self.timing.fresh_ms;
         stale.then_some(known_ms + self.timing.fresh_ms)
     }
@@ -399,7 +399,7 @@
     }
 
     /// Returns when a host of this failure domain last heard the store's log of documents.
-    fn domain_watched_ms(&self, _now_ms: u64) -> u64 {
+    fn domain_watched_ms(&self) -> u64 {
         let near = self
             .members
             .values()
@@ -412,7 +412,7 @@
     }
 
     fn watched_recently(&self, now_ms: u64) -> bool {
-        now_ms <= self.domain_watched_ms(now_ms) + self.timing.fresh_ms
+        now_ms <= self.domain_watched_ms() + self.timing.fresh_ms
     }
 }
 
