Say not_run of a job only when no earlier submission is on its way

Cause: 2,000 histories found a job refused with not_run after a lowered limit, whose first submission had got no answer, arrived late and was accepted. Ruled out: the owner; each of its answers was true. Change: after a try without an answer, the entry host reports a refusal as outcome_unknown; the model of callers does the same. Conclusion: a refusal speaks only for the copy that it answers.

--- a/crates/lagoonnotch/src/entry/job_api.rs
+++ b/crates/lagoonnotch/src/entry/job_api.rs
@@ -7,7 +7,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use lagoonnotch_wire::CALLER_SCHEMA;
-use lagoonnotch_wire::caller::{JobAccepted, JobSubmission, RequestIdCall, RequestIds};
+use lagoonnotch_wire::caller::{
+    JobAccepted, JobSubmission, RequestIdCall, RequestIds, WorkOutcome,
+};
 use tokio::time::sleep;
 
 use crate::document::WorkloadPolicy;
@@ -21,7 +23,7 @@
 use crate::journal::AcceptedWork;
 use crate::model::{ResourceSize, ShardName, TeamName, WorkId, WorkloadName};
 use crate::problem::{ProblemCode, ProblemReport};
-use crate::shard::{RefusalCode, ShardCommand, ShardReply, WorkAnswer};
+use crate::shard::{Refusal, RefusalCode, ShardCommand, ShardReply, WorkAnswer};
 
 /// Largest description of a job, in bytes; it has to fit the journal.
 const MAX_JOB_BYTES: usize = 256 * 1024;
@@ -219,6 +221,9 @@
                     home = shard;
                     continue;
                 }
+                Ok(ShardReply::Refused(refusal)) if sent => {
+                    return Err(after_silence(work, refusal));
+                }
                 Ok(reply) => return Ok(reply),
                 Err(RouteFault::NoOwner) => {}
                 Err(RouteFault::NoAnswer) => sent = true,
@@ -286,3 +291,14 @@
         ),
     }
 }
+
+/// Returns the refusal of a command of which an earlier copy got no answer, and may be carried out
+/// yet.
+fn after_silence(work: &WorkId, refusal: Refusal) -> ProblemReport {
+    let report = ProblemReport::from(refusal);
+    let report = match report.outcome {
+        WorkOutcome::NotRun => ProblemReport::unknown(ProblemCode::OutcomeUnknown, report.detail),
+        WorkOutcome::Unknown | WorkOutcome::Done => report,
+    };
+    report.with_id(work.as_str())
+}
--- a/crates/lagoonnotch/tests/promises/shard_promises.rs
+++ b/crates/lagoonnotch/tests/promises/shard_promises.rs
@@ -55,6 +55,8 @@
             CallerKnows::Ended(JobState::Cancelled) => work.cancelled,
             CallerKnows::Accepted => unknown && !work.plan.idempotent,
             CallerKnows::NotRun => runs.is_empty(),
+            // An earlier submission got no answer, and the caller was told so.
+            CallerKnows::Unknown => true,
             _ => false,
         };
         let seen = format!("{:?}, {:?}, {:?}", work.plan, work.knows, work.status);
