Give the copy for the traffic threads a file of its own

Cause: daemon/control.rs held the actor and the making of that copy. Change: moved to daemon/control_view.rs; no behaviour changed.

--- a/crates/lagoonnotch/src/daemon/control.rs
+++ b/crates/lagoonnotch/src/daemon/control.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonnotch_wire::caller::MemberStatus;
 use lagoonnotch_wire::upstream::HostEntry;
 use tokio::sync::{oneshot, watch};
 use xtra::prelude::*;
@@ -16,7 +15,7 @@
     ReleasedQuestion, ShardMessage, ShutdownMessage, TickMessage, WatchState, WatchTurn,
 };
 use crate::daemon::effect_runner::EffectRunner;
-use crate::daemon::{CellView, HostClock, OwnerRoute, RouteTarget};
+use crate::daemon::{CellView, HostClock};
 use crate::document::{ConfigLedger, LedgerSnapshot};
 use crate::event::EventCode;
 use crate::metrics::HostMetrics;
@@ -50,10 +49,10 @@
 /// The control state of one entry host.
 #[derive(xtra::Actor)]
 pub struct ControlActor {
-    clock: HostClock,
-    settings: Arc<HostSettings>,
-    members: MemberTable,
-    ledger: ConfigLedger,
+    pub(super) clock: HostClock,
+    pub(super) settings: Arc<HostSettings>,
+    pub(super) members: MemberTable,
+    pub(super) ledger: ConfigLedger,
     /// A machine for each shard of this failure domain.
     shards: BTreeMap<ShardName, ShardMachine>,
     hosts: Option<Vec<HostEntry>>,
@@ -61,11 +60,11 @@
     commands: BTreeMap<CommandId, oneshot::Sender<ShardReply>>,
     next_command: u64,
     runner: EffectRunner,
-    view: watch::Sender<Arc<CellView>>,
+    pub(super) view: watch::Sender<Arc<CellView>>,
     metrics: Arc<HostMetrics>,
     /// Hosts that were heard lately, for the log.
     heard: BTreeSet<String>,
-    stale: bool,
+    pub(super) stale: bool,
     next_forget_ms: u64,
     next_round_ms: u64,
 }
@@ -196,97 +195,6 @@
         self.publish();
     }
 
-    /// Copies the control state for the traffic threads.
-    fn publish(&mut self) {
-        let now_ms = self.clock.now_ms();
-        let config = Arc::clone(self.ledger.config());
-        let members =
-            std::iter::once(self.own_status()).chain(self.members.members().map(|entry| {
-                MemberStatus {
-                    host: entry.record.host.to_string(),
-                    failure_domain: entry.record.domain.to_string(),
-                    heard_ms_ago: now_ms.saturating_sub(entry.heard_ms),
-                    document_revision: entry.record.revision,
-                    ready: entry.record.state == MemberState::Live,
-                    owns: entry
-                        .record
-                        .shards
-                        .first()
-                        .map(|owned| owned.shard.to_string()),
-                }
-            }));
-        let view = CellView {
-            host: self.settings.host.clone(),
-            domain: self.settings.domain.clone(),
-            owners: self.owner_routes(),
-            stale_ms: self
-                .members
-                .stale_since_ms(now_ms)
-                .map(|since| now_ms.saturating_sub(since)),
-            ready: config.revision > 0 && self.members.me().state == MemberState::Live,
-            members: members.collect(),
-            config,
-        };
-        self.note_staleness(view.stale_ms.is_some());
-        self.view.send_replace(Arc::new(view));
-    }
-
-    fn own_status(&self) -> MemberStatus {
-        let me = self.members.me();
-        MemberStatus {
-            host: me.host.to_string(),
-            failure_domain: me.domain.to_string(),
-            heard_ms_ago: 0,
-            document_revision: me.revision,
-            ready: me.state == MemberState::Live,
-            owns: me.shards.first().map(|owned| owned.shard.to_string()),
-        }
-    }
-
-    fn owner_routes(&self) -> BTreeMap<ShardName, OwnerRoute> {
-        let mut routes: BTreeMap<ShardName, OwnerRoute> = BTreeMap::new();
-        let others = self.members.members().flat_map(|entry| {
-            let target = RouteTarget::Peer(entry.record.peer_address);
-            entry
-                .record
-                .shards
-                .iter()
-                .map(move |owned| (owned, entry.record.host.clone(), target.clone()))
-        });
-        let mine = self.members.me().shards.iter();
-        let mine = mine.map(|owned| (owned, self.settings.host.clone(), RouteTarget::Here));
-        for (owned, host, target) in others.chain(mine) {
-            let newer = routes
-                .get(&owned.shard)
-                .is_none_or(|route| route.epoch < owned.epoch);
-            if newer {
-                let summary = owned.summary.clone();
-                routes.insert(
-                    owned.shard.clone(),
-                    OwnerRoute {
-                        host,
-                        epoch: owned.epoch,
-                        target,
-                        summary,
-                    },
-                );
-            }
-        }
-        routes
-    }
-
-    fn note_staleness(&mut self, stale: bool) {
-        if stale != self.stale {
-            let code = if stale {
-                EventCode::ConfigStale
-            } else {
-                EventCode::ConfigFresh
-            };
-            code.log(&format!("host {}", self.settings.host));
-            self.stale = stale;
-        }
-    }
-
     /// Brings this host's own record up to date with its shards.
     fn update_own_record(&mut self) {
         let now_ms = self.clock.now_ms();
--- /dev/null
+++ b/crates/lagoonnotch/src/daemon/control_view.rs
@@ -0,0 +1,104 @@
+//! The copy of the control state for the traffic threads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lagoonnotch_wire::caller::MemberStatus;
+
+use crate::daemon::{CellView, ControlActor, OwnerRoute, RouteTarget};
+use crate::event::EventCode;
+use crate::model::ShardName;
+use crate::peer::MemberState;
+
+impl ControlActor {
+    /// Copies the control state for the traffic threads.
+    pub(super) fn publish(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let config = Arc::clone(self.ledger.config());
+        let members =
+            std::iter::once(self.own_status()).chain(self.members.members().map(|entry| {
+                MemberStatus {
+                    host: entry.record.host.to_string(),
+                    failure_domain: entry.record.domain.to_string(),
+                    heard_ms_ago: now_ms.saturating_sub(entry.heard_ms),
+                    document_revision: entry.record.revision,
+                    ready: entry.record.state == MemberState::Live,
+                    owns: entry
+                        .record
+                        .shards
+                        .first()
+                        .map(|owned| owned.shard.to_string()),
+                }
+            }));
+        let view = CellView {
+            host: self.settings.host.clone(),
+            domain: self.settings.domain.clone(),
+            owners: self.owner_routes(),
+            stale_ms: self
+                .members
+                .stale_since_ms(now_ms)
+                .map(|since| now_ms.saturating_sub(since)),
+            ready: config.revision > 0 && self.members.me().state == MemberState::Live,
+            members: members.collect(),
+            config,
+        };
+        self.note_staleness(view.stale_ms.is_some());
+        self.view.send_replace(Arc::new(view));
+    }
+
+    fn own_status(&self) -> MemberStatus {
+        let me = self.members.me();
+        MemberStatus {
+            host: me.host.to_string(),
+            failure_domain: me.domain.to_string(),
+            heard_ms_ago: 0,
+            document_revision: me.revision,
+            ready: me.state == MemberState::Live,
+            owns: me.shards.first().map(|owned| owned.shard.to_string()),
+        }
+    }
+
+    fn owner_routes(&self) -> BTreeMap<ShardName, OwnerRoute> {
+        let mut routes: BTreeMap<ShardName, OwnerRoute> = BTreeMap::new();
+        let others = self.members.members().flat_map(|entry| {
+            let target = RouteTarget::Peer(entry.record.peer_address);
+            entry
+                .record
+                .shards
+                .iter()
+                .map(move |owned| (owned, entry.record.host.clone(), target.clone()))
+        });
+        let mine = self.members.me().shards.iter();
+        let mine = mine.map(|owned| (owned, self.settings.host.clone(), RouteTarget::Here));
+        for (owned, host, target) in others.chain(mine) {
+            let newer = routes
+                .get(&owned.shard)
+                .is_none_or(|route| route.epoch < owned.epoch);
+            if newer {
+                let summary = owned.summary.clone();
+                routes.insert(
+                    owned.shard.clone(),
+                    OwnerRoute {
+                        host,
+                        epoch: owned.epoch,
+                        target,
+                        summary,
+                    },
+                );
+            }
+        }
+        routes
+    }
+
+    fn note_staleness(&mut self, stale: bool) {
+        if stale != self.stale {
+            let code = if stale {
+                EventCode::ConfigStale
+            } else {
+                EventCode::ConfigFresh
+            };
+            code.log(&format!("host {}", self.settings.host));
+            self.stale = stale;
+        }
+    }
+}
--- a/crates/lagoonnotch/src/daemon/mod.rs
+++ b/crates/lagoonnotch/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod config_watch;
 mod control;
 mod control_messages;
+mod control_view;
 mod effect_runner;
 mod gossip;
 mod host_clock;
