--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,7 +1,6 @@
 //! Tests of the owner's decisions in virtual time.
 
 mod advice;
-mod fake_upstream;
 mod fixtures;
 mod promises;
 mod recovery;
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -12,8 +12,8 @@
     OwnerSettings, RecoveredState, RosterEntry, StartOrder, StopOrder, StoredSubmission,
 };
 
-use crate::fake_upstream::FakeUpstream;
 use crate::fixtures::report;
+use lagoonnotch_model::ModelUpstream;
 
 /// Time between two ticks of the owner.
 const TICK_MS: u64 = 5;
@@ -76,7 +76,7 @@
     pub owner: Option<OwnerMachine>,
     /// An owner that was replaced and does not know it yet, and until when it acts.
     pub previous: Option<(OwnerMachine, u64)>,
-    pub upstreams: BTreeMap<Arc<str>, FakeUpstream>,
+    pub upstreams: BTreeMap<Arc<str>, ModelUpstream>,
     /// Upstreams that no message reaches, and until when.
     pub cut: HashMap<Arc<str>, u64>,
     pub config: Arc<ApprovedState>,
@@ -110,7 +110,7 @@
             .map(|number| {
                 let id = format!("u{number}");
                 let offset = 1000 + luck.below(100_000);
-                (Arc::from(id.as_str()), FakeUpstream::new(&id, 1, offset))
+                (Arc::from(id.as_str()), ModelUpstream::new(&id, 1, offset))
             })
             .collect();
         Self {
@@ -214,7 +214,7 @@
         let offset = self.luck.below(1000);
         if let Some(upstream) = self.upstreams.get_mut(id) {
             let born = upstream.born + 1;
-            *upstream = FakeUpstream::new(id, born, offset);
+            *upstream = ModelUpstream::new(id, born, offset);
         }
     }
 
--- a/crates/fleet/tests/fleet/fake_upstream.rs
+++ b/crates/model/src/model_upstream.rs
@@ -5,35 +5,59 @@
 
 use lagoonnotch_fleet::model::{
     EndKind, EndReport, HoldAnswer, RejectReason, ResourceSize, RunReport, StartOutcome,
-    StopOutcome, TaskName,
+    StopOutcome, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{HoldOrder, StartOrder, StopOrder};
 
 /// A run that is present.
 #[derive(Clone, Debug)]
-pub struct FakeRun {
+pub struct ModelRun {
+    /// Number of the attempt.
     pub attempt: u32,
+    /// What it uses.
     pub size: ResourceSize,
+    /// When it began.
     pub begun_at: u64,
+    /// When it ends by itself.
     pub ends_at: u64,
+    /// How it ends then.
     pub end: EndKind,
+    /// Work that its checkpoint held when it began, in milliseconds.
+    pub resumed_ms: u64,
 }
 
 /// An upstream.
 #[derive(Clone, Debug)]
-pub struct FakeUpstream {
+pub struct ModelUpstream {
+    /// Its identifier.
     pub id: Arc<str>,
+    /// Start of its incarnation.
     pub born: u64,
+    /// Its entry in the directory.
+    pub report: UpstreamReport,
     /// Offset of its clock.
     pub clock_offset: u64,
+    /// What it can run at a time.
     pub capacity: ResourceSize,
+    /// How fast it works; 1 is usual.
+    pub speed: f64,
+    /// Drawn once from 0 to 1; faults strike the lowest.
+    pub lot: f64,
+    /// Highest epoch that it has seen.
     pub epoch: u64,
     /// End of all leases on its clock.
     pub deadline_ms: u64,
-    pub runs: BTreeMap<TaskName, FakeRun>,
+    /// Runs that are present.
+    pub runs: BTreeMap<TaskName, ModelRun>,
+    /// Ends that are not acknowledged.
     pub ended: Vec<EndReport>,
+    /// Number of the next end.
     pub next_number: u64,
+    /// Highest attempt of each task that was stopped or has ended.
     pub barred: BTreeMap<TaskName, u32>,
+    /// Runs that were stopped by orders.
+    pub stopped: u64,
+    /// Whether it is about to leave.
     pub draining: bool,
     /// Whether the directory does not list it.
     pub unlisted: bool,
@@ -43,19 +67,36 @@
     pub peak: ResourceSize,
 }
 
-impl FakeUpstream {
+impl ModelUpstream {
+    /// Makes an upstream of four cores.
+    #[must_use]
     pub fn new(id: &str, born: u64, clock_offset: u64) -> Self {
+        let capacity = ResourceSize::new(4000, 16_384, 0);
         Self {
             id: id.into(),
             born,
+            report: UpstreamReport {
+                id: id.into(),
+                born_unix_ms: born,
+                pool: "pool".into(),
+                address: id.into(),
+                failure_domain: "west".into(),
+                draining: false,
+                sequence: 0,
+                capacity,
+                labels: Vec::new(),
+            },
             clock_offset,
-            capacity: ResourceSize::new(4000, 16_384, 0),
+            capacity,
+            speed: 1.0,
+            lot: 1.0,
             epoch: 0,
             deadline_ms: 0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             next_number: 1,
             barred: BTreeMap::new(),
+            stopped: 0,
             draining: false,
             unlisted: false,
             standing: false,
@@ -80,11 +121,11 @@
             } else {
                 EndKind::Lapsed
             };
-            self.end(&name, kind);
+            self.end(now, &name, kind);
         }
     }
 
-    fn percent(&self, now: u64, run: &FakeRun) -> u32 {
+    fn percent(&self, now: u64, run: &ModelRun) -> u32 {
         if self.standing {
             return 0;
         }
@@ -92,10 +133,12 @@
         u32::try_from(done.min(100)).expect("at most 100")
     }
 
-    fn end(&mut self, name: &TaskName, kind: EndKind) {
+    fn end(&mut self, now: u64, name: &TaskName, kind: EndKind) {
         let Some(run) = self.runs.remove(name) else {
             return;
         };
+        self.stopped += u64::from(kind == EndKind::Stopped);
+        let saved_ms = run.resumed_ms + now.saturating_sub(run.begun_at);
         let barred = self.barred.entry(name.clone()).or_default();
         *barred = (*barred).max(run.attempt);
         self.ended.push(EndReport {
@@ -103,11 +146,19 @@
             task: name.to_string().into(),
             attempt: run.attempt,
             kind,
-            checkpoint: "".into(),
+            checkpoint: saved_ms.to_string().into(),
         });
         self.next_number += 1;
     }
 
+    /// Returns the work that the checkpoint of an order holds, in milliseconds.
+    #[must_use]
+    pub fn saved_ms(&self, order: &StartOrder) -> u64 {
+        let checkpoint = order.checkpoint.as_deref();
+        checkpoint.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
+    /// Takes an order to start a run of this duration and end.
     pub fn start(
         &mut self,
         now: u64,
@@ -141,14 +192,16 @@
         }
         self.deadline_ms = self.deadline_ms.max(order.deadline_ms);
         let (duration, end) = run;
+        let resumed_ms = self.saved_ms(order);
         self.runs.insert(
             order.task.clone(),
-            FakeRun {
+            ModelRun {
                 attempt: order.attempt,
                 size,
                 begun_at: now,
                 ends_at: now + duration,
                 end,
+                resumed_ms,
             },
         );
         let mut sum = ResourceSize::ZERO;
@@ -159,6 +212,7 @@
         StartOutcome::Started
     }
 
+    /// Takes an order to stop a run.
     pub fn stop(&mut self, now: u64, order: &StopOrder) -> StopOutcome {
         self.advance(now);
         if order.epoch < self.epoch {
@@ -170,24 +224,32 @@
             .get(&order.task)
             .is_some_and(|run| run.attempt <= order.attempt)
         {
-            self.end(&order.task, EndKind::Stopped);
+            self.end(now, &order.task, EndKind::Stopped);
         }
         let barred = self.barred.entry(order.task.clone()).or_default();
         *barred = (*barred).max(order.attempt);
         StopOutcome::Accepted
     }
 
-    /// Returns none if the order is fenced off.
-    pub fn hold(&mut self, now: u64, order: &HoldOrder) -> Option<HoldAnswer> {
+    /// Extends the leases when a renewal arrives that is answered later.
+    pub fn renew(&mut self, now: u64, order: &HoldOrder) {
         self.advance(now);
         if order.epoch < self.epoch {
-            return None;
+            return;
         }
         self.epoch = order.epoch;
         if let Some(deadline) = order.deadline_ms {
             self.deadline_ms = self.deadline_ms.max(deadline);
         }
         self.ended.retain(|end| end.number > order.ack_number);
+    }
+
+    /// Renews leases and lists runs and ends; none if the order is fenced off.
+    pub fn hold(&mut self, now: u64, order: &HoldOrder) -> Option<HoldAnswer> {
+        self.renew(now, order);
+        if order.epoch < self.epoch {
+            return None;
+        }
         Some(HoldAnswer {
             clock_ms: now + self.clock_offset,
             born_unix_ms: self.born,
