Index the passes over waiting steps, and ask as hosts become free

Change: submissions are looked at again only when something about them changed; one view of the upstreams a pass, by number; a step costs as much as it has tickets. Questions are made when a host is free, in the order of the steps.

--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -24,7 +24,7 @@
     /// What it can run at a time.
     pub capacity: ResourceSize,
     /// Labels: its kind and its rack.
-    pub labels: Vec<Arc<str>>,
+    pub labels: Arc<[Arc<str>]>,
 }
 
 /// A run that an upstream lists as present.
--- a/crates/fleet/src/owner/advice_desk.rs
+++ b/crates/fleet/src/owner/advice_desk.rs
@@ -6,10 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::owner::schedule::StepStanding;
-
 /// Questions that take longer are long ones, in milliseconds.
-const LONG_QUESTION_MS: u64 = 100;
+pub(super) const LONG_QUESTION_MS: f64 = 100.0;
 
 /// Answer of the policy service.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,95 +27,98 @@
     Failed,
 }
 
-/// A question that waits for a host or an answer.
+/// A question about a step.
 #[derive(Clone, Debug)]
 pub(super) struct Question {
-    pub ask: u64,
     pub submission: Arc<str>,
     pub occurrence: u32,
     pub step: u32,
     pub upstreams: Vec<Arc<str>>,
-    pub duration_ms: u64,
+    /// How long tickets of the queue are valid, in milliseconds.
     pub valid_ms: u64,
-    pub host: Option<Arc<str>>,
 }
 
-/// Urgency of a question: standing of the step, whether it is not urgent, and when it is due.
-pub(super) type QuestionUrgency = (StepStanding, bool, u64);
+/// A question that a host has asked.
+#[derive(Clone, Debug)]
+struct AskedQuestion {
+    question: Question,
+    host: Arc<str>,
+    long: bool,
+}
+
+/// What a host does for the owner.
+#[derive(Clone, Copy, Debug, Default)]
+struct HostLoad {
+    busy: bool,
+    /// No question before this time.
+    paused_until: u64,
+    /// Number of its last question; the host that rested longest is asked first.
+    last_ask: u64,
+}
 
 /// Spreads questions over hosts.
 #[derive(Debug, Default)]
 pub(super) struct AdviceDesk {
-    next_ask: u64,
-    /// Questions by urgency and number.
-    waiting: BTreeMap<(QuestionUrgency, u64), Question>,
-    asked: BTreeMap<u64, Question>,
-    hosts: BTreeSet<Arc<str>>,
-    paused: BTreeMap<Arc<str>, u64>,
+    last_ask: u64,
+    /// Questions without an answer, by number; at most one of each host.
+    asked: BTreeMap<u64, AskedQuestion>,
+    hosts: BTreeMap<Arc<str>, HostLoad>,
 }
 
 impl AdviceDesk {
     /// Sets the hosts that may ask.
-    pub fn set_hosts(&mut self, hosts: BTreeSet<Arc<str>>) {
-        self.hosts = hosts;
+    pub fn set_hosts(&mut self, hosts: &BTreeSet<Arc<str>>) {
+        self.hosts
+            .retain(|host, load| load.busy || hosts.contains(host));
+        for host in hosts {
+            if !self.hosts.contains_key(host) {
+                self.hosts.insert(host.clone(), HostLoad::default());
+            }
+        }
     }
 
-    /// Adds a question and returns its number.
-    pub fn add(&mut self, urgency: QuestionUrgency, mut question: Question) -> u64 {
-        self.next_ask += 1;
-        question.ask = self.next_ask;
-        self.waiting.insert((urgency, self.next_ask), question);
-        self.next_ask
+    /// Tells whether a host is free for a question.
+    pub fn has_host(&self, now: u64, long: bool) -> bool {
+        self.free_host(now, long).is_some()
     }
 
-    /// Takes the questions that can be asked now, with their hosts.
-    pub fn dispatch(&mut self, now: u64) -> Vec<Question> {
-        let mut sent = Vec::new();
-        while !self.waiting.is_empty() {
-            let busy: BTreeSet<_> = self.asked.values().filter_map(|q| q.host.clone()).collect();
-            let free: Vec<_> = self
-                .hosts
-                .iter()
-                .filter(|host| !busy.contains(*host))
-                .filter(|host| self.paused.get(*host).is_none_or(|until| *until <= now))
-                .cloned()
-                .collect();
-            let long = self.asked.values().filter(|q| is_long(q)).count();
-            let long_allowed = long < (self.hosts.len() * 2 / 3).max(1);
-            let next = self
-                .waiting
-                .iter()
-                .find(|(_, question)| long_allowed || !is_long(question))
-                .map(|(key, _)| *key);
-            let (Some(host), Some(key)) = (free.first(), next) else {
-                break;
-            };
-            let Some(mut question) = self.waiting.remove(&key) else {
-                break;
-            };
-            question.host = Some(host.clone());
-            self.asked.insert(question.ask, question.clone());
-            sent.push(question);
+    fn free_host(&self, now: u64, long: bool) -> Option<&Arc<str>> {
+        let long_asked = self.asked.values().filter(|asked| asked.long).count();
+        if long && long_asked >= (self.hosts.len() * 2 / 3).max(1) {
+            return None;
         }
-        sent
+        self.hosts
+            .iter()
+            .filter(|(_, load)| !load.busy && load.paused_until <= now)
+            .min_by_key(|(_, load)| load.last_ask)
+            .map(|(host, _)| host)
     }
 
-    /// Ends a question; a host without an answer pauses.
-    pub fn finish(&mut self, ask: u64, pause_until: Option<u64>) -> Option<Question> {
-        let question = self.asked.remove(&ask)?;
-        if let (Some(until), Some(host)) = (pause_until, question.host.clone()) {
-            self.paused.insert(host, until);
+    /// Gives a question to a free host; returns its number and the host.
+    pub fn ask(&mut self, now: u64, question: Question, long: bool) -> Option<(u64, Arc<str>)> {
+        let host = self.free_host(now, long)?.clone();
+        self.last_ask += 1;
+        let ask = self.last_ask;
+        if let Some(load) = self.hosts.get_mut(&host) {
+            load.busy = true;
+            load.last_ask = ask;
         }
-        Some(question)
+        let asked = AskedQuestion {
+            question,
+            host: host.clone(),
+            long,
+        };
+        self.asked.insert(ask, asked);
+        Some((ask, host))
     }
 
-    /// Drops questions of a submission that wait.
-    pub fn withdraw(&mut self, submission: &str) {
-        self.waiting
-            .retain(|_, question| &*question.submission != submission);
+    /// Ends a question; a host without an answer pauses.
+    pub fn finish(&mut self, ask: u64, pause_until: Option<u64>) -> Option<Question> {
+        let asked = self.asked.remove(&ask)?;
+        if let Some(load) = self.hosts.get_mut(&asked.host) {
+            load.busy = false;
+            load.paused_until = pause_until.unwrap_or(load.paused_until);
+        }
+        Some(asked.question)
     }
 }
-
-fn is_long(question: &Question) -> bool {
-    question.duration_ms > LONG_QUESTION_MS
-}
--- a/crates/fleet/src/owner/cancellation.rs
+++ b/crates/fleet/src/owner/cancellation.rs
@@ -26,7 +26,7 @@
         };
         entry.state = state;
         self.active.remove(id);
-        self.desk.withdraw(id);
+        self.ready.remove(id);
         self.note_change(id, true);
         self.stop_runs_of(now, id);
         self.placement_wanted = true;
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -278,12 +278,16 @@
                 step.done += 1;
             }
         }
-        let complete = step.is_done() && entry.occurrences.iter().all(OccurrenceEntry::is_done);
+        let step_done = step.is_done();
+        let complete = step_done && entry.occurrences.iter().all(OccurrenceEntry::is_done);
         let id = entry.record.id.clone();
         let active = entry.is_active();
         for (member, elsewhere) in others {
             self.stop_run(now + GANG_END_PAUSE_MS, &elsewhere, &member);
         }
+        if step_done && active {
+            self.ready.note(&id);
+        }
         if complete && active {
             self.end_submission(now, &id, SubmissionState::Completed);
         }
@@ -447,7 +451,7 @@
                 wanted = false;
             }
         }
-        self.book(upstream, name.clone(), run);
+        self.book(upstream, name, run);
         if !wanted {
             self.stop_run(now, upstream, name);
         }
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -124,12 +124,15 @@
     }
 
     fn drop_ticket(&mut self, name: &TaskName, upstream: &Arc<str>) {
+        let Some(slot) = self.upstreams.get(upstream).map(|entry| entry.slot) else {
+            return;
+        };
         let step = self
             .submissions
             .get_mut(&name.submission)
             .and_then(|entry| entry.occurrences.get_mut(name.occurrence as usize))
             .and_then(|occurrence| occurrence.steps.get_mut(name.step as usize));
-        if let Some(ticket) = step.and_then(|step| step.tickets.get_mut(upstream)) {
+        if let Some(ticket) = step.and_then(|step| step.tickets.get_mut(&slot)) {
             ticket.expires_at = 0;
         }
     }
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -9,6 +9,8 @@
 };
 use crate::owner::advice_desk::AdviceDesk;
 use crate::owner::commit_queue::CommitQueue;
+use crate::owner::fleet_view::UpstreamSlot;
+use crate::owner::ready_list::ReadyList;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
 use crate::owner::upstream_entry::{RunEntry, UpstreamEntry};
 use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry};
@@ -34,9 +36,9 @@
     pub(super) upstreams: BTreeMap<Arc<str>, UpstreamEntry>,
     /// What each team has running; equals the sum over all runs.
     pub(super) team_usage: HashMap<Arc<str>, ResourceSize>,
-    /// Booked runs of each task at all upstreams; a task without an entry has none. A task is
-    /// started only while it has none.
-    pub(super) run_counts: HashMap<TaskName, u32>,
+    pub(super) ready: ReadyList,
+    /// Number of slots that were given to upstreams.
+    pub(super) slot_count: u32,
     pub(super) desk: AdviceDesk,
     pub(super) commits: CommitQueue,
     /// Upstreams that may hold leases of an earlier owner and were not seen since the take-over.
@@ -53,7 +55,6 @@
     /// Whether something changed that may allow a start.
     pub(super) placement_wanted: bool,
     pub(super) next_placement_at: u64,
-    pub(super) next_due_unix_ms: u64,
     pub(super) deposed: bool,
     /// Newest revision at which this owner is known to have owned the fleet.
     pub(super) proven_revision: u64,
@@ -88,7 +89,8 @@
             active: BTreeSet::new(),
             upstreams: BTreeMap::new(),
             team_usage: HashMap::new(),
-            run_counts: HashMap::new(),
+            ready: ReadyList::default(),
+            slot_count: 0,
             desk: AdviceDesk::default(),
             commits: CommitQueue::default(),
             unseen: BTreeMap::new(),
@@ -100,7 +102,6 @@
             effects: Vec::new(),
             placement_wanted: true,
             next_placement_at: 0,
-            next_due_unix_ms: u64::MAX,
             deposed: false,
             proven_revision: epoch,
             proof_wanted: false,
@@ -119,15 +120,18 @@
 
     /// Takes a configuration that came into force.
     pub fn set_config(&mut self, config: Arc<ApprovedState>, evacuated: BTreeSet<Arc<str>>) {
-        if config.revision >= self.config.revision {
+        if config.revision > self.config.revision {
             self.config = config;
+            for id in &self.active {
+                self.ready.note(id);
+            }
         }
         self.evacuated = evacuated;
         self.placement_wanted = true;
     }
 
     /// Takes the hosts that may ask the policy service.
-    pub fn set_hosts(&mut self, hosts: BTreeSet<Arc<str>>) {
+    pub fn set_hosts(&mut self, hosts: &BTreeSet<Arc<str>>) {
         self.desk.set_hosts(hosts);
     }
 
@@ -169,13 +173,20 @@
             }
             return;
         }
-        let mut entry = UpstreamEntry::new(report);
+        let mut entry = UpstreamEntry::new(self.next_slot(), report);
         entry.next_hold_at = now;
         entry.refreshed_at = now;
         self.upstreams.insert(id, entry);
         self.roster_changed = true;
     }
 
+    /// Returns a slot that no upstream has had.
+    pub(super) fn next_slot(&mut self) -> UpstreamSlot {
+        let slot = UpstreamSlot(self.slot_count);
+        self.slot_count += 1;
+        slot
+    }
+
     /// Takes a submission that is stored; `created` is the revision of its record.
     ///
     /// `proven` says that this owner owned the fleet at that revision. Otherwise nothing of it
@@ -198,6 +209,7 @@
         self.submissions
             .insert(id.clone(), SubmissionEntry::new(record, created, now));
         self.proof_wanted |= created > self.proven_revision;
+        self.ready.note(&id);
         self.active.insert(id);
         self.placement_wanted = true;
     }
@@ -278,7 +290,7 @@
     }
 
     /// Books a run at an upstream and for its team.
-    pub(super) fn book(&mut self, upstream: &Arc<str>, name: TaskName, run: RunEntry) {
+    pub(super) fn book(&mut self, upstream: &Arc<str>, name: &TaskName, run: RunEntry) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
@@ -286,8 +298,10 @@
         if let Some(team) = &run.team {
             *self.team_usage.entry(team.clone()).or_default() += run.demand;
         }
-        if entry.runs.insert(name.clone(), run).is_none() {
-            *self.run_counts.entry(name).or_default() += 1;
+        if entry.runs.insert(name.clone(), run).is_none()
+            && let Some(task) = self.task_mut(name)
+        {
+            task.booked_runs += 1;
         }
     }
 
@@ -309,20 +323,15 @@
         {
             *usage = usage.saturating_sub(&run.demand);
         }
-        if let Some(count) = self.run_counts.get_mut(name) {
-            *count -= 1;
-            if *count == 0 {
-                self.run_counts.remove(name);
+        if let Some(task) = self.task_mut(name) {
+            task.booked_runs = task.booked_runs.saturating_sub(1);
+            if task.phase == TaskPhase::Placed && task.upstream.as_ref() == Some(upstream) {
+                task.phase = TaskPhase::Waiting;
+                task.upstream = None;
+                task.not_before = task.not_before.max(now);
             }
         }
-        if let Some(task) = self.task_mut(name)
-            && task.phase == TaskPhase::Placed
-            && task.upstream.as_ref() == Some(upstream)
-        {
-            task.phase = TaskPhase::Waiting;
-            task.upstream = None;
-            task.not_before = task.not_before.max(now);
-        }
+        self.ready.note(&name.submission);
         self.placement_wanted = true;
         Some(run)
     }
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -81,17 +81,21 @@
 
     fn add_member(&mut self, now: u64, unix_ms: u64, member: RosterEntry) {
         let id = member.id.clone();
-        let mut entry = UpstreamEntry::new(UpstreamReport {
-            id: id.clone(),
-            born_unix_ms: member.born_unix_ms,
-            pool: member.pool.clone(),
-            address: member.address.clone(),
-            failure_domain: member.failure_domain.clone(),
-            draining: false,
-            sequence: 0,
-            capacity: ResourceSize::ZERO,
-            labels: Vec::new(),
-        });
+        let slot = self.next_slot();
+        let mut entry = UpstreamEntry::new(
+            slot,
+            UpstreamReport {
+                id: id.clone(),
+                born_unix_ms: member.born_unix_ms,
+                pool: member.pool.clone(),
+                address: member.address.clone(),
+                failure_domain: member.failure_domain.clone(),
+                draining: false,
+                sequence: 0,
+                capacity: ResourceSize::ZERO,
+                labels: Arc::from([]),
+            },
+        );
         entry.listed = false;
         entry.enrolled = true;
         entry.next_hold_at = now;
@@ -118,6 +122,7 @@
             return;
         }
         self.active.insert(id.clone());
+        self.ready.note(&id);
         for run in progress.runs {
             let name = TaskName {
                 submission: id.clone(),
@@ -126,7 +131,7 @@
                 index: run.index,
             };
             if self.unseen.contains_key(&run.upstream) {
-                self.restore_run(&run.upstream, name, run.attempt);
+                self.restore_run(&run.upstream, &name, run.attempt);
             } else if let Some(task) = self.task_mut(&name) {
                 task.attempt = task.attempt.max(run.attempt);
             }
@@ -137,9 +142,9 @@
     }
 
     /// Books a run that an earlier owner recorded; the inventory confirms or corrects it.
-    fn restore_run(&mut self, upstream: &Arc<str>, name: TaskName, attempt: u32) {
-        let run = self.make_run(&name, attempt, RunPhase::Running, 0);
-        let Some(task) = self.task_mut(&name) else {
+    fn restore_run(&mut self, upstream: &Arc<str>, name: &TaskName, attempt: u32) {
+        let run = self.make_run(name, attempt, RunPhase::Running, 0);
+        let Some(task) = self.task_mut(name) else {
             return;
         };
         if task.phase != TaskPhase::Waiting {
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::model::{ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState};
+use crate::owner::fleet_view::UpstreamSlot;
 
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -27,6 +28,8 @@
     pub failed: BTreeSet<u32>,
     /// Upstream of the run; set exactly while the phase is `Placed`.
     pub upstream: Option<Arc<str>>,
+    /// Runs that are booked at all upstreams; the task is started only while there are none.
+    pub booked_runs: u32,
     pub checkpoint: Option<Arc<str>>,
     pub failed_on: Option<Arc<str>>,
     /// No start before this time.
@@ -46,13 +49,15 @@
     pub tasks: Vec<TaskEntry>,
     pub done: u32,
     /// Upstreams that may run the step, with the newest ticket.
-    pub tickets: BTreeMap<Arc<str>, TicketEntry>,
+    pub tickets: BTreeMap<UpstreamSlot, TicketEntry>,
     /// Upstreams that may not run the step; this never changes.
-    pub denied: BTreeSet<Arc<str>>,
+    pub denied: BTreeSet<UpstreamSlot>,
     /// Question about the step that is not answered yet.
     pub asking: Option<u64>,
     /// No question before this time.
     pub ask_not_before: u64,
+    /// No search for runs that give way before this time.
+    pub search_not_before: u64,
     pub gang_checkpoint: Option<Arc<str>>,
 }
 
--- a/crates/fleet/src/owner/upkeep.rs
+++ b/crates/fleet/src/owner/upkeep.rs
@@ -38,13 +38,13 @@
         if may_act {
             self.renew(now);
             self.send_stops(now);
-            let wanted = self.placement_wanted || unix_ms >= self.next_due_unix_ms;
+            let due = self.ready.next_due_unix_ms();
+            let wanted = self.placement_wanted || due.is_some_and(|due| unix_ms >= due);
             if wanted && now >= self.next_placement_at {
                 self.placement_wanted = false;
                 self.next_placement_at = now + self.upstreams.len() as u64 / PLACED_PER_MS;
                 self.place_all(now, unix_ms);
             }
-            self.send_questions(now);
         }
         self.forget_old(now);
         self.commit(now);
@@ -67,8 +67,8 @@
         if !self.commits.is_empty() {
             due = due.min(self.commits.last_sent_at + self.settings.commit_spacing_ms);
         }
-        if self.next_due_unix_ms < u64::MAX {
-            due = due.min(now + self.next_due_unix_ms.saturating_sub(unix_ms));
+        if let Some(due_unix_ms) = self.ready.next_due_unix_ms() {
+            due = due.min(now + due_unix_ms.saturating_sub(unix_ms));
         }
         due.max(now)
     }
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::model::{ResourceSize, TaskName, UpstreamReport};
+use crate::owner::fleet_view::UpstreamSlot;
 
 /// Factor by which an upstream's clock may lag, in thousandths, with the rounding.
 const SLOW_CLOCK_PER_MILLE: u64 = 1021;
@@ -89,6 +90,7 @@
     reason = "independent facts, not a state"
 )]
 pub(super) struct UpstreamEntry {
+    pub slot: UpstreamSlot,
     pub report: UpstreamReport,
     /// Whether the directory lists it at present.
     pub listed: bool,
@@ -130,8 +132,9 @@
 }
 
 impl UpstreamEntry {
-    pub fn new(report: UpstreamReport) -> Self {
+    pub fn new(slot: UpstreamSlot, report: UpstreamReport) -> Self {
         Self {
+            slot,
             report,
             listed: true,
             refreshed_at: 0,
--- a/crates/fleet/tests/fleet/fixtures.rs
+++ b/crates/fleet/tests/fleet/fixtures.rs
@@ -106,6 +106,6 @@
         draining: false,
         sequence: 0,
         capacity: ResourceSize::new(4000, 16_384, 0),
-        labels: vec!["a".into(), "rack-1".into()],
+        labels: Arc::from(["a".into(), "rack-1".into()]),
     }
 }
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -172,7 +172,7 @@
                 previous_acts_ms: if self.previous.is_some() { 6000 } else { 0 },
             },
         );
-        owner.set_hosts(BTreeSet::from([Arc::from("host")]));
+        owner.set_hosts(&BTreeSet::from([Arc::from("host")]));
         self.owner = Some(owner);
         self.directory_at = 0;
     }
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -106,7 +106,7 @@
             FleetEvent::StartsSuspended.emit(json!({"epoch": ownership.machine.epoch()}));
         }
         ownership.suspended = !may_act;
-        ownership.machine.set_hosts(helpers);
+        ownership.machine.set_hosts(&helpers);
         let store_age_ms = self.view.store_age_ms();
         ownership.machine.tick(now, unix, may_act, store_age_ms);
         let valid_until = ownership.valid_until;
--- a/crates/model/src/fleet_model.rs
+++ b/crates/model/src/fleet_model.rs
@@ -74,6 +74,9 @@
     ended: Option<(u64, SubmissionState)>,
 }
 
+/// Upstreams by identifier.
+type UpstreamMap = BTreeMap<Arc<str>, ModelUpstream>;
+
 /// A fleet in virtual time.
 pub struct FleetModel {
     settings: ModelSettings,
@@ -84,7 +87,8 @@
     now: u64,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
-    upstreams: BTreeMap<Arc<str>, ModelUpstream>,
+    upstreams: UpstreamMap,
+    /// Upstreams of each pool of the mix.
     pools: Vec<Vec<Arc<str>>>,
     /// Renewals that wait for an end: the order, when it was sent, and its number.
     waiting_holds: HashMap<Arc<str>, (HoldOrder, u64, u64)>,
@@ -150,7 +154,7 @@
     pub fn play(mut self) -> FleetOutcome {
         self.owner
             .recover(self.now, self.now, RecoveredState::default());
-        self.owner.set_hosts(self.hosts());
+        self.owner.set_hosts(&self.hosts());
         self.push(0, Event::Directory);
         self.push(2 * DIRECTORY_MS, Event::Packing);
         for kind in 0..self.settings.mix.kinds.len() {
@@ -613,7 +617,7 @@
             self.config.clone(),
         );
         owner.recover(self.now, self.now, recovered);
-        owner.set_hosts(self.hosts());
+        owner.set_hosts(&self.hosts());
         self.cost.total += began.elapsed();
         self.owner = owner;
         self.read_directory();
@@ -758,10 +762,7 @@
     clippy::cast_sign_loss,
     reason = "small positive amounts"
 )]
-fn make_upstreams(
-    settings: &ModelSettings,
-    draw: &mut Draw,
-) -> (BTreeMap<Arc<str>, ModelUpstream>, Vec<Vec<Arc<str>>>) {
+fn make_upstreams(settings: &ModelSettings, draw: &mut Draw) -> (UpstreamMap, Vec<Vec<Arc<str>>>) {
     /// Failure domains that upstreams are dealt to.
     const DOMAINS: [&str; 3] = ["north", "middle", "south"];
     let mut upstreams = BTreeMap::new();
@@ -790,7 +791,7 @@
                 draining: false,
                 sequence: 0,
                 capacity,
-                labels: vec!["a".into(), format!("rack-{}", number / pool.rack).into()],
+                labels: Arc::from(["a".into(), format!("rack-{}", number / pool.rack).into()]),
             };
             members.push(id.clone());
             upstreams.insert(id, upstream);
--- a/crates/model/src/model_upstream.rs
+++ b/crates/model/src/model_upstream.rs
@@ -84,7 +84,7 @@
                 draining: false,
                 sequence: 0,
                 capacity,
-                labels: Vec::new(),
+                labels: Arc::from([]),
             },
             clock_offset,
             capacity,
