Keep only the ends of submissions that are over

Change: a submission that has ended and runs nothing any more is moved to ended/ID with its final state; recovery and the owner's readings meet only what is open. A submission that comes again after its end finds it there; news of a submission that was open before the take-over and was not read then are news of an ended one. Entries of a commit are counted, so that it never has more than the store takes (28 records, a roster and a deletion had 35 with the conditions).

Tests: news_of_an_ended_submission_starts_nothing, submission_that_has_ended_is_not_stored_again, cancelling_after_the_end_is_not_stored. The judge of the random histories asks the store where the owner does not know a submission, as hosts do.

--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -3,19 +3,41 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use crate::model::ProgressRecord;
+use crate::model::{ProgressRecord, SubmissionState};
 use crate::owner::RosterEntry;
 
-/// Most progress records of one commit; the store takes 32 entries in all.
-const MAX_RECORDS: usize = 28;
+/// Most entries of one commit for submissions; the store takes 32 entries in all, of which the
+/// conditions, the number of the commit and the roster take four.
+pub(super) const MAX_ENTRIES: usize = 28;
 
-/// One write of progress, all or nothing.
+/// Entries of a commit that one record of progress takes.
+pub(super) const PROGRESS_ENTRIES: usize = 1;
+
+/// Entries of a commit that one ended submission takes: its end, and the three records before.
+pub(super) const ENDED_ENTRIES: usize = 4;
+
+/// A submission that has ended and runs nothing any more; all that is kept of it is how it ended.
 #[derive(Clone, Debug, PartialEq)]
+pub struct EndedSubmission {
+    /// Identifier of the submission.
+    pub id: Arc<str>,
+    /// Final state.
+    pub state: SubmissionState,
+    /// When it ended, in milliseconds since 1970.
+    pub ended_unix_ms: u64,
+}
+
+/// One write of progress, all or nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct CommitBatch {
     /// Progress by identifier of the submission.
     pub progress: Vec<(Arc<str>, ProgressRecord)>,
-    /// Submissions whose records are deleted.
+    /// Submissions that have ended.
+    pub ended: Vec<EndedSubmission>,
+    /// Submissions whose ends have been kept long enough.
     pub forgotten: Vec<Arc<str>>,
+    /// Submissions that had ended before their cancelling was stored.
+    pub stray_cancels: Vec<Arc<str>>,
     /// The upstreams that may hold leases, if they have changed.
     pub roster: Option<Vec<RosterEntry>>,
 }
@@ -77,9 +99,16 @@
         self.queue.is_empty()
     }
 
-    /// Takes the submissions of the next commit.
-    pub fn take(&mut self) -> Vec<Arc<str>> {
-        let count = self.queue.len().min(MAX_RECORDS);
+    /// Takes the submissions of the next commit, as many as its entries allow.
+    pub fn take(&mut self, entries_of: impl Fn(&Arc<str>) -> usize) -> Vec<Arc<str>> {
+        let mut left = MAX_ENTRIES;
+        let fits = |(_, id): &&(u64, Arc<str>)| {
+            let entries = entries_of(id);
+            let fits = entries <= left;
+            left = left.saturating_sub(entries);
+            fits
+        };
+        let count = self.queue.iter().take_while(fits).count();
         self.is_sent = true;
         self.in_flight = self.queue.drain(..count).collect();
         for (_, submission) in &self.in_flight {
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -25,7 +25,7 @@
 mod upstream_entry;
 
 pub use advice_desk::{AdviceAnswer, AdviceOutcome};
-pub use commit_queue::{CommitBatch, CommitOutcome};
+pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
 pub use effect::{AskOrder, HoldOrder, OwnerEffect, StartOrder, StopOrder};
 pub use owner_machine::OwnerMachine;
 pub use owner_settings::OwnerSettings;
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -1,6 +1,6 @@
 //! State of the owner, and its inputs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use crate::model::{
@@ -50,7 +50,13 @@
     pub(super) roster_changed: bool,
     /// Whether the roster is part of the commit in flight.
     pub(super) roster_in_flight: bool,
-    pub(super) forgotten: Vec<Arc<str>>,
+    /// Submissions whose ends the store need not keep any longer.
+    pub(super) forgotten: VecDeque<Arc<str>>,
+    /// Submissions with a stored cancelling that had ended before.
+    pub(super) stray_cancels: VecDeque<Arc<str>>,
+    /// Revision of the store as of which everything that had not ended is known.
+    pub(super) known_revision: u64,
+    pub(super) next_sweep_at: u64,
     pub(super) effects: Vec<OwnerEffect>,
     /// Whether something changed that may allow a start.
     pub(super) placement_wanted: bool,
@@ -98,7 +104,10 @@
             recovery_until: 0,
             roster_changed: false,
             roster_in_flight: false,
-            forgotten: Vec::new(),
+            forgotten: VecDeque::new(),
+            stray_cancels: VecDeque::new(),
+            known_revision: 0,
+            next_sweep_at: 0,
             effects: Vec::new(),
             placement_wanted: true,
             next_placement_at: 0,
@@ -202,7 +211,8 @@
         if proven {
             self.proven_revision = self.proven_revision.max(created);
         }
-        if self.submissions.contains_key(&record.id) {
+        // One that was there at the take-over and was not read then had ended.
+        if self.submissions.contains_key(&record.id) || created <= self.known_revision {
             return;
         }
         let id = record.id.clone();
@@ -298,11 +308,15 @@
         if let Some(team) = &run.team {
             *self.team_usage.entry(team.clone()).or_default() += run.demand;
         }
-        if entry.runs.insert(name.clone(), run).is_none()
-            && let Some(task) = self.task_mut(name)
-        {
+        if entry.runs.insert(name.clone(), run).is_some() {
+            return;
+        }
+        if let Some(task) = self.task_mut(name) {
             task.booked_runs += 1;
         }
+        if let Some(submission) = self.submissions.get_mut(&name.submission) {
+            submission.booked_runs += 1;
+        }
     }
 
     /// Frees what a run booked, and lets its task wait unless it is done.
@@ -331,6 +345,9 @@
                 task.not_before = task.not_before.max(now);
             }
         }
+        if let Some(submission) = self.submissions.get_mut(&name.submission) {
+            submission.booked_runs = submission.booked_runs.saturating_sub(1);
+        }
         self.ready.note(&name.submission);
         self.placement_wanted = true;
         Some(run)
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -59,6 +59,10 @@
     pub submissions: Vec<StoredSubmission>,
     /// Upstreams that may hold leases of earlier owners.
     pub roster: Vec<RosterEntry>,
+    /// Revision of the store as of which all submissions that had not ended are listed.
+    pub revision: u64,
+    /// Submissions with a stored cancelling that had ended before.
+    pub stray_cancels: Vec<Arc<str>>,
     /// How long earlier owners may still act without knowing that they were replaced, in
     /// milliseconds.
     pub previous_acts_ms: u64,
@@ -70,6 +74,8 @@
         self.recovered_at = now;
         self.recovery_until =
             now + recovered.previous_acts_ms + self.settings.task_lease_ms * 1021 / 1000 + 300;
+        self.known_revision = recovered.revision;
+        self.stray_cancels.extend(recovered.stray_cancels);
         for member in recovered.roster {
             self.add_member(now, unix_ms, member);
         }
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -100,6 +100,10 @@
     pub stored: bool,
     /// When the final state was stored.
     pub stored_at: u64,
+    /// Runs that are booked at all upstreams.
+    pub booked_runs: u32,
+    /// Whether its end is all that the store keeps.
+    pub moved: bool,
 }
 
 impl SubmissionEntry {
@@ -125,6 +129,8 @@
             state: SubmissionState::Queued,
             stored: false,
             stored_at: 0,
+            booked_runs: 0,
+            moved: false,
         }
     }
 
@@ -149,6 +155,11 @@
             .all(|earlier| steps.get(*earlier as usize).is_some_and(StepEntry::is_done))
     }
 
+    /// Tells whether its end is all that has to be kept: nothing of it runs any more.
+    pub fn is_over(&self) -> bool {
+        self.state.is_final() && self.booked_runs == 0
+    }
+
     /// Tells whether the step's tasks still have to run.
     pub fn is_active(&self) -> bool {
         !self.state.is_final()
--- a/crates/fleet/src/owner/upkeep.rs
+++ b/crates/fleet/src/owner/upkeep.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::model::{ResourceSize, SubmissionState, TaskName};
+use crate::model::{ResourceSize, TaskName};
+use crate::owner::commit_queue::{ENDED_ENTRIES, MAX_ENTRIES, PROGRESS_ENTRIES};
 use crate::owner::upstream_entry::{RunPhase, Silence};
 use crate::owner::{
-    CommitBatch, CommitOutcome, HoldOrder, OwnerEffect, OwnerMachine, RosterEntry, StopOrder,
+    CommitBatch, CommitOutcome, EndedSubmission, HoldOrder, OwnerEffect, OwnerMachine, RosterEntry,
+    StopOrder,
 };
 
 /// How long a renewal waits for the journal, in milliseconds: an upstream answers at once while it
@@ -19,8 +21,8 @@
 /// Time without an answer after which an upstream is journaled as silent, in milliseconds.
 const SILENT_MS: u64 = 1600;
 
-/// Most submissions that one commit forgets.
-const MAX_FORGOTTEN: usize = 1;
+/// Time between looks for submissions that are over, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 1000;
 
 impl OwnerMachine {
     /// Does what is due: lapses, renewals, stops, starts, questions and commits.
@@ -46,7 +48,7 @@
                 self.place_all(now, unix_ms);
             }
         }
-        self.forget_old(now);
+        self.sweep_ended(now);
         self.commit(now);
     }
 
@@ -207,45 +209,86 @@
         }));
     }
 
-    /// Forgets submissions whose final state has been kept long enough.
-    fn forget_old(&mut self, now: u64) {
-        let keep_ms = self.settings.keep_final_ms;
-        if !self.forgotten.is_empty() || self.commits.is_empty() {
+    /// Moves submissions out whose last run has ended, and forgets ends that were kept long enough.
+    fn sweep_ended(&mut self, now: u64) {
+        if now < self.next_sweep_at {
             return;
         }
-        let old: Vec<_> = self
-            .submissions
-            .iter()
-            .filter(|(_, entry)| entry.stored && now > entry.stored_at + keep_ms)
-            .take(MAX_FORGOTTEN)
-            .map(|(id, _)| id.clone())
-            .collect();
-        self.forgotten = old;
+        self.next_sweep_at = now + SWEEP_INTERVAL_MS;
+        let keep_ms = self.settings.keep_final_ms;
+        let mut over = Vec::new();
+        for (id, entry) in &self.submissions {
+            if entry.moved && now > entry.stored_at + keep_ms {
+                self.forgotten.push_back(id.clone());
+            } else if entry.stored && !entry.moved && entry.is_over() && now >= self.recovery_until
+            {
+                over.push(id.clone());
+            }
+        }
+        for id in &self.forgotten {
+            self.submissions.remove(id);
+        }
+        for id in over {
+            self.note_change(&id, false);
+        }
+    }
+
+    /// Takes ends of submissions that an earlier owner stored and that were kept long enough.
+    pub fn forget_ends(&mut self, ids: Vec<Arc<str>>) {
+        self.forgotten.extend(ids);
+    }
+
+    /// Takes cancellings that were stored after their submissions had ended.
+    pub fn drop_cancels(&mut self, ids: Vec<Arc<str>>) {
+        self.stray_cancels.extend(ids);
     }
 
     fn commit(&mut self, now: u64) {
         let due = self.commits.urgent
             || self.proof_wanted
             || now >= self.commits.last_sent_at + self.settings.commit_spacing_ms;
-        let anything = !self.commits.is_empty() || self.roster_changed || self.proof_wanted;
+        let anything = !self.commits.is_empty()
+            || !self.forgotten.is_empty()
+            || !self.stray_cancels.is_empty()
+            || self.roster_changed
+            || self.proof_wanted;
         if !anything || !self.commits.is_idle() || self.roster_in_flight || !due {
             return;
         }
-        let ids = self.commits.take();
+        let submissions = &self.submissions;
+        let ids = self.commits.take(|id| match submissions.get(id) {
+            Some(entry) if entry.is_over() => ENDED_ENTRIES,
+            _ => PROGRESS_ENTRIES,
+        });
         self.commits.last_sent_at = now;
-        let progress = ids
-            .iter()
-            .filter_map(|id| Some((id.clone(), self.submissions.get(id)?.progress())))
-            .collect();
-        let roster = self.roster_changed.then(|| self.roster(now));
+        let mut batch = CommitBatch::default();
+        let mut left = MAX_ENTRIES;
+        for id in &ids {
+            let found = self.submissions.get(id).filter(|entry| !entry.moved);
+            let Some(entry) = found else {
+                continue;
+            };
+            if entry.is_over() {
+                left = left.saturating_sub(ENDED_ENTRIES);
+                batch.ended.push(EndedSubmission {
+                    id: id.clone(),
+                    state: entry.state,
+                    ended_unix_ms: self.unix_ms,
+                });
+            } else {
+                left = left.saturating_sub(PROGRESS_ENTRIES);
+                batch.progress.push((id.clone(), entry.progress()));
+            }
+        }
+        let count = self.forgotten.len().min(left);
+        batch.forgotten = self.forgotten.drain(..count).collect();
+        let count = self.stray_cancels.len().min(left - count);
+        batch.stray_cancels = self.stray_cancels.drain(..count).collect();
+        batch.roster = self.roster_changed.then(|| self.roster(now));
         self.roster_in_flight = self.roster_changed;
         self.roster_changed = false;
         self.proof_wanted = false;
-        self.effects.push(OwnerEffect::Commit(CommitBatch {
-            progress,
-            forgotten: std::mem::take(&mut self.forgotten),
-            roster,
-        }));
+        self.effects.push(OwnerEffect::Commit(batch));
     }
 
     fn roster(&self, now: u64) -> Vec<RosterEntry> {
@@ -278,6 +321,9 @@
         match outcome {
             CommitOutcome::Fenced => self.depose(),
             CommitOutcome::Unknown => {
+                self.forgotten.extend(batch.forgotten.iter().cloned());
+                let strays = batch.stray_cancels.iter().cloned();
+                self.stray_cancels.extend(strays);
                 self.roster_changed |= with_roster;
                 self.proof_wanted = true;
             }
@@ -288,8 +334,8 @@
                 for id in ids {
                     self.note_stored(now, &id, batch);
                 }
-                for id in &batch.forgotten {
-                    self.submissions.remove(id);
+                for ended in &batch.ended {
+                    self.note_moved(now, &ended.id);
                 }
                 for member in batch.roster.iter().flatten() {
                     if let Some(entry) = self.upstreams.get_mut(&member.id) {
@@ -316,15 +362,20 @@
         }
     }
 
+    fn note_moved(&mut self, now: u64, id: &Arc<str>) {
+        if let Some(entry) = self.submissions.get_mut(id) {
+            if !entry.stored {
+                entry.stored_at = now;
+            }
+            entry.stored = true;
+            entry.moved = true;
+            entry.occurrences = Vec::new();
+        }
+    }
+
     /// Sums what each team has booked, for checks.
     #[must_use]
     pub fn usage_of(&self, team: &str) -> ResourceSize {
         self.team_usage.get(team).copied().unwrap_or_default()
     }
-
-    /// Tells whether a submission has ended, for checks.
-    #[must_use]
-    pub fn has_ended(&self, id: &str) -> bool {
-        self.state_of(id).is_some_and(SubmissionState::is_final)
-    }
 }
--- a/crates/fleet/tests/fleet/promises.rs
+++ b/crates/fleet/tests/fleet/promises.rs
@@ -1,6 +1,6 @@
 //! The promises, on random histories with several faults at once.
 
-use lagoonnotch_fleet::model::{ResourceSize, StepSpec};
+use lagoonnotch_fleet::model::{ResourceSize, StepSpec, SubmissionState};
 use proptest::prelude::*;
 
 use crate::fixtures::{config, queue, step, submission};
@@ -103,7 +103,7 @@
 
         prop_assert_eq!(&world.findings, &Vec::<String>::new());
         for id in world.submissions.keys() {
-            let ended = world.owner.as_ref().is_some_and(|owner| owner.has_ended(id));
+            let ended = world.state_of(id).is_some_and(SubmissionState::is_final);
             prop_assert!(ended, "{} is {:?}", id, world.state_of(id));
         }
     }
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -216,7 +216,7 @@
     let effects = owner.take_effects();
 
     let failed = effects.iter().any(|effect| match effect {
-        OwnerEffect::Commit(batch) => batch.progress[0].1.state == SubmissionState::Failed,
+        OwnerEffect::Commit(batch) => batch.ended[0].state == SubmissionState::Failed,
         _ => false,
     });
     assert!(failed, "{effects:?}");
@@ -372,6 +372,8 @@
         runs_known: false,
     });
     let recovered = RecoveredState {
+        revision: 0,
+        stray_cancels: Vec::new(),
         submissions: vec![StoredSubmission {
             record: submission("s1", policy, vec![step(1)]),
             created: 10,
@@ -412,3 +414,25 @@
             .collect(),
     }
 }
+
+/// Hosts tell a new owner again of what they stored; what had ended must not run again.
+#[test]
+fn news_of_an_ended_submission_starts_nothing() {
+    let queue = queue("batch", 2);
+    let mut world = World::new(3, config(vec![queue.clone()], ResourceSize::ZERO), 2);
+    world.run_ms = Some(200);
+    world.take_over();
+    world.run_until(11_000);
+    let record = submission("s1", &queue, vec![step(1)]);
+    world.submit(&record);
+    world.run_until(13_000);
+    let created = world.submissions["s1"].1;
+    world.take_over();
+
+    let (now, owner) = (world.now, world.owner.as_mut().expect("an owner"));
+    owner.add_submission(now, record, created, false);
+    world.run_until(15_000);
+
+    assert_eq!(world.started.len(), 1);
+    assert_eq!(world.findings, Vec::<String>::new());
+}
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -82,6 +82,8 @@
     pub config: Arc<ApprovedState>,
     pub submissions: BTreeMap<Arc<str>, (Arc<SubmissionRecord>, u64)>,
     pub cancelled: BTreeSet<Arc<str>>,
+    /// Submissions of which the store keeps only the end.
+    pub ended: BTreeSet<Arc<str>>,
     pub progress: HashMap<Arc<str>, ProgressRecord>,
     pub roster: Vec<RosterEntry>,
     pub epoch: u64,
@@ -124,6 +126,7 @@
             config,
             submissions: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            ended: BTreeSet::new(),
             progress: HashMap::new(),
             roster: Vec::new(),
             epoch: 0,
@@ -156,6 +159,7 @@
         let submissions = self
             .submissions
             .iter()
+            .filter(|(id, _)| !self.ended.contains(*id))
             .map(|(id, (record, created))| StoredSubmission {
                 record: record.clone(),
                 created: *created,
@@ -169,6 +173,8 @@
             RecoveredState {
                 submissions,
                 roster: self.roster.clone(),
+                revision: self.revision,
+                stray_cancels: Vec::new(),
                 previous_acts_ms: if self.previous.is_some() { 6000 } else { 0 },
             },
         );
@@ -231,8 +237,11 @@
         }
     }
 
+    /// Returns the state that callers are told: by the owner, or else by the store.
     pub fn state_of(&self, id: &str) -> Option<SubmissionState> {
-        self.owner.as_ref()?.state_of(id)
+        let stored = self.progress.get(id).filter(|_| self.ended.contains(id));
+        let told = self.owner.as_ref()?.state_of(id);
+        told.or(stored.map(|progress| progress.state))
     }
 
     fn tick_owner(&mut self) {
@@ -451,6 +460,11 @@
         for (id, progress) in &batch.progress {
             self.progress.insert(id.clone(), progress.clone());
         }
+        for ended in &batch.ended {
+            let progress = self.progress.entry(ended.id.clone()).or_default();
+            progress.state = ended.state;
+            self.ended.insert(ended.id.clone());
+        }
         if let Some(roster) = &batch.roster {
             self.roster.clone_from(roster);
         }
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -208,6 +208,8 @@
                     machine.cancel(now, &id);
                 }
             }
+            ControlInput::StrayCancels(ids) => machine.drop_cancels(ids),
+            ControlInput::OldEnds(ids) => machine.forget_ends(ids),
             ControlInput::Renewed {
                 epoch: renewed,
                 valid_until,
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -38,6 +38,10 @@
     Submissions(Vec<TakenSubmission>),
     /// Stored cancellings.
     Cancels(Vec<Arc<str>>),
+    /// Cancellings that were stored after their submissions had ended.
+    StrayCancels(Vec<Arc<str>>),
+    /// Ends of submissions that were kept long enough.
+    OldEnds(Vec<Arc<str>>),
     /// The host owns the fleet now.
     Granted(Box<OwnershipGrant>),
     /// The ownership of an epoch was renewed.
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -208,7 +208,7 @@
         if outcome != CommitOutcome::Stored {
             FleetEvent::CommitFailed.emit(json!({
                 "epoch": epoch,
-                "records": batch.progress.len(),
+                "records": batch.progress.len() + batch.ended.len(),
                 "outcome": format!("{outcome:?}"),
             }));
             tokio::time::sleep(COMMIT_PAUSE).await;
@@ -248,12 +248,10 @@
 
 /// Logs the final states that are stored.
 pub(super) fn note_finals(batch: &CommitBatch) {
-    for (id, progress) in &batch.progress {
-        if progress.state.is_final() {
-            FleetEvent::SubmissionEnded.emit(json!({
-                "request": id,
-                "state": format!("{:?}", progress.state),
-            }));
-        }
+    for ended in &batch.ended {
+        FleetEvent::SubmissionEnded.emit(json!({
+            "request": ended.id,
+            "state": format!("{:?}", ended.state),
+        }));
     }
 }
--- a/crates/host/src/entry/entry_desk.rs
+++ b/crates/host/src/entry/entry_desk.rs
@@ -250,12 +250,12 @@
 
     async fn cancel(&self, id: Arc<str>) -> EntryAnswer {
         let began_at = now_ms();
-        match self.store.read(&id).await {
-            Ok(_) => {}
-            Err(StoreFault::Missing) => return EntryAnswer::NoSubmission,
+        let revision = match self.store.revision(&id).await {
+            Ok(revision) => revision,
+            Err(StoreFault::Missing) => return self.cancel_ended(&id).await,
             Err(_) => return refused(RefusalReason::NoStore),
-        }
-        match self.store.cancel(&id).await {
+        };
+        match self.store.cancel(&id, revision).await {
             StoreAnswer::Stored(_) | StoreAnswer::Present(_) => {
                 FleetEvent::CancelStored.emit(json!({
                     "request": id,
@@ -264,10 +264,20 @@
                 self.outbox.cancelled(id);
                 EntryAnswer::Cancelled
             }
-            StoreAnswer::NotStored | StoreAnswer::OtherOwner(_) => refused(RefusalReason::NoStore),
+            StoreAnswer::OtherOwner(_) => self.cancel_ended(&id).await,
+            StoreAnswer::NotStored => refused(RefusalReason::NoStore),
             StoreAnswer::Unsettled => EntryAnswer::Unsettled,
         }
     }
+
+    /// Answers the cancelling of a submission that has no record any more.
+    async fn cancel_ended(&self, id: &str) -> EntryAnswer {
+        match self.store.ended_state(id).await {
+            Ok(_) => EntryAnswer::Cancelled,
+            Err(StoreFault::Missing) => EntryAnswer::NoSubmission,
+            Err(_) => refused(RefusalReason::NoStore),
+        }
+    }
 }
 
 fn refused(reason: RefusalReason) -> EntryAnswer {
--- a/crates/host/src/ownership/claim_desk.rs
+++ b/crates/host/src/ownership/claim_desk.rs
@@ -298,9 +298,11 @@
         }));
         let directory = tokio::spawn(self.clone().follow_directory());
         let taken = tokio::spawn(self.clone().follow_taken(revision));
+        let sweeping = tokio::spawn(self.clone().sweep_ends());
         let _ = renewing.await;
         directory.abort();
         taken.abort();
+        sweeping.abort();
     }
 
     /// Renews the ownership; ends when it is over.
--- a/crates/host/src/ownership/owner_readings.rs
+++ b/crates/host/src/ownership/owner_readings.rs
@@ -1,15 +1,19 @@
 //! The owner's readings of the store: the directory of upstreams, and what hosts have taken.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use lagoonnotch_fleet::model::UpstreamReport;
 use tokio::time::{sleep, timeout};
 
-use crate::clock::now_ms;
+use crate::clock::{now_ms, unix_ms};
 use crate::control::ControlInput;
 use crate::ownership::OwnershipParts;
-use crate::ports::{StoreFault, StoreItem, WatchCall};
-use crate::store::{CANCEL_PREFIX, SUBMISSION_PREFIX, TAKEN_PREFIX, list_all, submission_of};
+use crate::ports::{ListCall, StoreFault, StoreItem, WatchCall};
+use crate::store::{
+    CANCEL_PREFIX, ENDED_PREFIX, EndedRecord, SUBMISSION_PREFIX, TAKEN_PREFIX, list_all,
+    submission_of,
+};
 
 /// Time between readings of the directory.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,6 +33,12 @@
 /// Time after which all submissions are read again, in milliseconds; watches may miss some.
 const RELIST_INTERVAL_MS: u64 = 8000;
 
+/// Time between pages of ended submissions that are looked through.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(20);
+
+/// How long ends of submissions are kept, in milliseconds; the settings of the owner say less.
+const OLD_END_MS: u64 = 300_000;
+
 /// Pause after all was read again, as a multiple of the time that it took.
 const RELIST_PAUSES: u64 = 20;
 
@@ -92,12 +102,59 @@
         }
     }
 
+    /// Reads all that hosts have taken. Cancellings come first in the order of keys: one without a
+    /// submission came after its end.
     async fn list_taken(&self) -> Option<u64> {
         let (items, revision) = list_all(&self.ports.store, TAKEN_PREFIX).await.ok()?;
         self.bring(&items).await;
+        let listed: HashSet<_> = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(SUBMISSION_PREFIX))
+            .collect();
+        let strays: Vec<_> = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(CANCEL_PREFIX))
+            .filter(|id| !listed.contains(id))
+            .map(Into::into)
+            .collect();
+        if !strays.is_empty() {
+            self.control.input(ControlInput::StrayCancels(strays)).await;
+        }
         Some(revision)
     }
 
+    /// Reads the ends of submissions page by page, and has the old ones deleted, until the task is
+    /// dropped. The owner deletes those that it stored itself; others were left by earlier owners.
+    pub(super) async fn sweep_ends(self) {
+        let mut after = None;
+        loop {
+            sleep(SWEEP_INTERVAL).await;
+            let call = ListCall {
+                prefix: ENDED_PREFIX.to_owned(),
+                after: after.take(),
+            };
+            let Ok(page) = (self.ports.store.list)(call).await else {
+                continue;
+            };
+            let now = unix_ms();
+            let old: Vec<_> = page
+                .items
+                .iter()
+                .filter(|item| is_old_end(item, now))
+                .filter_map(|item| item.key.strip_prefix(ENDED_PREFIX))
+                .map(Into::into)
+                .collect();
+            if !old.is_empty() {
+                self.control.input(ControlInput::OldEnds(old)).await;
+            }
+            after = page
+                .items
+                .last()
+                .filter(|_| page.more)
+                .map(|item| item.key.clone());
+        }
+    }
+
     async fn bring(&self, items: &[StoreItem]) {
         let mut records = Vec::new();
         let mut cancels = Vec::new();
@@ -116,3 +173,14 @@
         }
     }
 }
+
+/// Tells whether the end of a submission has been kept long enough; an unreadable one has.
+fn is_old_end(item: &StoreItem, now_unix_ms: u64) -> bool {
+    match serde_json::from_slice::<EndedRecord>(&item.value) {
+        Ok(record) => record.ended_unix_ms + OLD_END_MS < now_unix_ms,
+        Err(error) => {
+            log::error!(target: "lagoonnotch", "item {} of the store can't be read: {error}", item.key);
+            true
+        }
+    }
+}
--- a/crates/host/src/store/commit_desk.rs
+++ b/crates/host/src/store/commit_desk.rs
@@ -10,7 +10,10 @@
 use lagoonnotch_fleet::owner::{CommitBatch, CommitOutcome};
 
 use crate::ports::{StoreFault, StoreItem, StorePort, WriteCall, WriteOutcome};
-use crate::store::{COMMIT_KEY, OWNER_KEY, ROSTER_KEY, cancel_key, progress_key, submission_key};
+use crate::store::{
+    COMMIT_KEY, EndedRecord, OWNER_KEY, ROSTER_KEY, cancel_key, ended_key, progress_key,
+    submission_key,
+};
 
 /// What is known of the commits of one epoch.
 #[derive(Clone, Copy, Debug, Default)]
@@ -118,9 +121,20 @@
     if let Some(roster) = &batch.roster {
         call.set.push((ROSTER_KEY.to_owned(), encode(roster)?));
     }
+    for ended in &batch.ended {
+        let record = EndedRecord {
+            state: ended.state,
+            ended_unix_ms: ended.ended_unix_ms,
+        };
+        call.set.push((ended_key(&ended.id), encode(&record)?));
+        call.delete.push(submission_key(&ended.id));
+        call.delete.push(progress_key(&ended.id));
+        call.delete.push(cancel_key(&ended.id));
+    }
     for id in &batch.forgotten {
-        call.delete.push(submission_key(id));
-        call.delete.push(progress_key(id));
+        call.delete.push(ended_key(id));
+    }
+    for id in &batch.stray_cancels {
         call.delete.push(cancel_key(id));
     }
     Some(call)
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use lagoonnotch_fleet::model::SubmissionState;
 use serde::{Deserialize, Serialize};
 
 /// Key of the owner's record.
@@ -51,6 +52,18 @@
 /// First part of the keys of progress.
 pub(crate) const PROGRESS_PREFIX: &str = "progress/";
 
+/// First part of the keys of submissions that have ended.
+pub(crate) const ENDED_PREFIX: &str = "ended/";
+
+/// What is kept of a submission that has ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndedRecord {
+    /// Final state.
+    pub state: SubmissionState,
+    /// When it ended, in milliseconds since 1970.
+    pub ended_unix_ms: u64,
+}
+
 /// First part of the keys of cancellings.
 pub(crate) const CANCEL_PREFIX: &str = "taken/cancel/";
 
@@ -79,6 +92,12 @@
     format!("{PROGRESS_PREFIX}{id}")
 }
 
+/// Returns the key of a submission that has ended.
+#[must_use]
+pub fn ended_key(id: &str) -> String {
+    format!("{ENDED_PREFIX}{id}")
+}
+
 /// Returns the key of a submission's cancelling.
 #[must_use]
 pub fn cancel_key(id: &str) -> String {
--- a/crates/host/src/store/mod.rs
+++ b/crates/host/src/store/mod.rs
@@ -8,11 +8,11 @@
 
 pub use commit_desk::CommitDesk;
 pub use key_layout::{
-    COMMIT_KEY, GENERATION_KEY, OWNER_KEY, OwnerHistory, OwnerRecord, ROSTER_KEY, cancel_key,
-    progress_key, submission_key,
+    COMMIT_KEY, EndedRecord, GENERATION_KEY, OWNER_KEY, OwnerHistory, OwnerRecord, ROSTER_KEY,
+    cancel_key, ended_key, progress_key, submission_key,
 };
 pub use recovery_reader::{list_all, read_recovered, submission_of};
 pub use relayed_store::{RelayCalls, relayed_store};
 pub use submission_store::{StoreAnswer, SubmissionStore};
 
-pub(crate) use key_layout::{CANCEL_PREFIX, SUBMISSION_PREFIX, TAKEN_PREFIX};
+pub(crate) use key_layout::{CANCEL_PREFIX, ENDED_PREFIX, SUBMISSION_PREFIX, TAKEN_PREFIX};
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -46,7 +46,7 @@
 pub async fn read_recovered(store: &StorePort) -> Result<(RecoveredState, u64), StoreFault> {
     let (progress, revision) = list_all(store, PROGRESS_PREFIX).await?;
     let (cancels, _) = list_all(store, CANCEL_PREFIX).await?;
-    let (submissions, _) = list_all(store, SUBMISSION_PREFIX).await?;
+    let (submissions, known_revision) = list_all(store, SUBMISSION_PREFIX).await?;
     let roster = match (store.read)(ROSTER_KEY.to_owned()).await {
         Ok(item) => parse::<Vec<RosterEntry>>(&item).unwrap_or_default(),
         Err(StoreFault::Missing) => Vec::new(),
@@ -60,6 +60,12 @@
         .iter()
         .filter_map(|item| Some((item.key.strip_prefix(PROGRESS_PREFIX)?, parse(item)?)))
         .collect();
+    let listed: HashSet<_> = submissions
+        .iter()
+        .filter_map(|item| item.key.strip_prefix(SUBMISSION_PREFIX))
+        .collect();
+    let stray_cancels = cancelled.difference(&listed);
+    let stray_cancels = stray_cancels.map(|id| Arc::from(*id)).collect();
     let submissions = submissions
         .iter()
         .filter_map(|item| {
@@ -75,6 +81,8 @@
     let recovered = RecoveredState {
         submissions,
         roster,
+        revision: known_revision,
+        stray_cancels,
         previous_acts_ms: 0,
     };
     Ok((recovered, revision))
--- a/crates/host/src/store/submission_store.rs
+++ b/crates/host/src/store/submission_store.rs
@@ -1,12 +1,10 @@
 //! Stores submissions and cancellings for the host that took them.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
-use lagoonnotch_fleet::model::{ProgressRecord, SubmissionRecord, SubmissionState};
+use lagoonnotch_fleet::model::{ProgressRecord, SubmissionState};
 
 use crate::ports::{StoreFault, StoreItem, StorePort, WriteCall, WriteOutcome};
-use crate::store::{OWNER_KEY, cancel_key, progress_key, submission_key, submission_of};
+use crate::store::{EndedRecord, OWNER_KEY, cancel_key, ended_key, progress_key, submission_key};
 
 /// Reads after a write without an answer.
 const SETTLE_READS: u32 = 2;
@@ -39,56 +37,66 @@
         Self { store }
     }
 
-    /// Stores a submission under its identifier, unless one is there, and proves that the epoch
-    /// owns the fleet at that revision; 0 proves that nobody does.
+    /// Stores a submission under its identifier, unless one is there or has ended, and proves that
+    /// the epoch owns the fleet at that revision; 0 proves that nobody does.
     pub async fn create(&self, id: &str, record: Bytes, epoch: u64) -> StoreAnswer {
-        self.create_key(submission_key(id), record, Some(epoch))
-            .await
-    }
-
-    /// Stores that a submission is cancelled.
-    pub async fn cancel(&self, id: &str) -> StoreAnswer {
-        self.create_key(cancel_key(id), Bytes::from_static(b"{}"), None)
-            .await
+        let key = submission_key(id);
+        let call = WriteCall {
+            expected: vec![
+                (key.clone(), 0),
+                (ended_key(id), 0),
+                (OWNER_KEY.to_owned(), epoch),
+            ],
+            set: vec![(key.clone(), record)],
+            ..WriteCall::default()
+        };
+        self.write(call, vec![key, ended_key(id)]).await
     }
 
-    async fn create_key(&self, key: String, value: Bytes, epoch: Option<u64>) -> StoreAnswer {
-        let mut expected = vec![(key.clone(), 0)];
-        expected.extend(epoch.map(|epoch| (OWNER_KEY.to_owned(), epoch)));
+    /// Stores that a submission is cancelled, unless it has ended; `revision` is that of its
+    /// record.
+    pub async fn cancel(&self, id: &str, revision: u64) -> StoreAnswer {
+        let key = cancel_key(id);
         let call = WriteCall {
-            expected,
-            set: vec![(key.clone(), value)],
+            expected: vec![(key.clone(), 0), (submission_key(id), revision)],
+            set: vec![(key.clone(), Bytes::from_static(b"{}"))],
             ..WriteCall::default()
         };
+        self.write(call, vec![key]).await
+    }
+
+    /// Writes a call that sets the first of the keys; each of them says that it is not needed.
+    async fn write(&self, call: WriteCall, keys: Vec<String>) -> StoreAnswer {
         match (self.store.write)(call).await {
             WriteOutcome::Done(revision) => StoreAnswer::Stored(revision),
-            WriteOutcome::Conflict(items) => conflict(&key, &items),
+            WriteOutcome::Conflict(items) => conflict(&keys, &items),
             WriteOutcome::NotDone | WriteOutcome::NoLease => StoreAnswer::NotStored,
-            WriteOutcome::Unknown => self.settle(key).await,
+            WriteOutcome::Unknown => self.settle(keys).await,
         }
     }
 
     /// Reads back a write without an answer; its absence proves nothing, since it may come late.
-    async fn settle(&self, key: String) -> StoreAnswer {
-        for _ in 0..SETTLE_READS {
-            match (self.store.read)(key.clone()).await {
-                Ok(item) => return StoreAnswer::Stored(item.created),
-                Err(StoreFault::Missing) => return StoreAnswer::Unsettled,
-                Err(_) => {}
+    async fn settle(&self, keys: Vec<String>) -> StoreAnswer {
+        for key in keys {
+            for _ in 0..SETTLE_READS {
+                match (self.store.read)(key.clone()).await {
+                    Ok(item) => return StoreAnswer::Stored(item.created),
+                    Err(StoreFault::Missing) => break,
+                    Err(_) => {}
+                }
             }
         }
         StoreAnswer::Unsettled
     }
 
-    /// Reads the record of a submission with the revision of its creation.
+    /// Reads the revision of the record of a submission that has not ended.
     ///
     /// # Errors
     ///
     /// Returns `Missing` if the store has no such submission.
-    pub async fn read(&self, id: &str) -> Result<(Arc<SubmissionRecord>, u64), StoreFault> {
+    pub async fn revision(&self, id: &str) -> Result<u64, StoreFault> {
         let item = (self.store.read)(submission_key(id)).await?;
-        let record = submission_of(&item).ok_or(StoreFault::Unknown)?;
-        Ok((record, item.created))
+        Ok(item.revision)
     }
 
     /// Reads the state of a submission; `Missing` only if the store has no such submission now.
@@ -97,7 +105,11 @@
     ///
     /// Returns the fault of the first call that failed.
     pub async fn state(&self, id: &str) -> Result<SubmissionState, StoreFault> {
-        (self.store.read)(submission_key(id)).await?;
+        match (self.store.read)(submission_key(id)).await {
+            Ok(_) => {}
+            Err(StoreFault::Missing) => return self.ended_state(id).await,
+            Err(fault) => return Err(fault),
+        }
         match (self.store.read)(progress_key(id)).await {
             Ok(item) => {
                 let progress: Option<ProgressRecord> = serde_json::from_slice(&item.value).ok();
@@ -107,11 +119,29 @@
                 }
                 self.cancelled_or(id, state.unwrap_or_default()).await
             }
-            Err(StoreFault::Missing) => self.cancelled_or(id, SubmissionState::Queued).await,
+            // It may have ended between the two readings.
+            Err(StoreFault::Missing) => match self.ended_state(id).await {
+                Err(StoreFault::Missing) => self.cancelled_or(id, SubmissionState::Queued).await,
+                found => found,
+            },
             Err(fault) => Err(fault),
         }
     }
 
+    /// Reads the final state of a submission that has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Missing` if no such submission has ended of late.
+    pub async fn ended_state(&self, id: &str) -> Result<SubmissionState, StoreFault> {
+        let item = (self.store.read)(ended_key(id)).await?;
+        let record: EndedRecord = serde_json::from_slice(&item.value).map_err(|error| {
+            log::error!(target: "lagoonnotch", "item {} of the store can't be read: {error}", item.key);
+            StoreFault::Unknown
+        })?;
+        Ok(record.state)
+    }
+
     async fn cancelled_or(
         &self,
         id: &str,
@@ -126,13 +156,13 @@
 }
 
 /// Tells which condition of a write did not hold; items that do not exist have revision 0.
-fn conflict(key: &str, items: &[StoreItem]) -> StoreAnswer {
+fn conflict(keys: &[String], items: &[StoreItem]) -> StoreAnswer {
     let present = |wanted: &str| {
         items
             .iter()
             .find(|item| item.key == wanted && item.revision > 0)
     };
-    match present(key) {
+    match keys.iter().find_map(|key| present(key)) {
         Some(item) => StoreAnswer::Present(item.created),
         None => StoreAnswer::OtherOwner(present(OWNER_KEY).map_or(0, |item| item.revision)),
     }
--- a/crates/host/tests/host/commits.rs
+++ b/crates/host/tests/host/commits.rs
@@ -13,8 +13,7 @@
     };
     CommitBatch {
         progress: vec![("s1".into(), progress)],
-        forgotten: Vec::new(),
-        roster: None,
+        ..CommitBatch::default()
     }
 }
 
--- a/crates/host/tests/host/fake_store.rs
+++ b/crates/host/tests/host/fake_store.rs
@@ -61,6 +61,14 @@
         Some(String::from_utf8_lossy(&item.value).into_owned())
     }
 
+    pub fn delete(&self, key: &str) {
+        let call = WriteCall {
+            delete: vec![key.to_owned()],
+            ..WriteCall::default()
+        };
+        apply(&mut self.state.lock().expect("the store"), &call);
+    }
+
     /// Carries out the writes that were held back; tells how many were done.
     pub fn do_late(&self) -> usize {
         let mut state = self.state.lock().expect("the store");
--- a/crates/host/tests/host/submissions.rs
+++ b/crates/host/tests/host/submissions.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use lagoonnotch_fleet::model::SubmissionState;
 use lagoonnotch_host::ports::StoreFault;
-use lagoonnotch_host::store::{OWNER_KEY, StoreAnswer, SubmissionStore, submission_key};
+use lagoonnotch_host::store::{
+    OWNER_KEY, StoreAnswer, SubmissionStore, cancel_key, ended_key, submission_key,
+};
 
 use crate::fake_store::{FakeStore, Fate};
 
@@ -69,7 +71,8 @@
     submissions.create("s1", record(), 0).await;
 
     let accepted = submissions.state("s1").await;
-    submissions.cancel("s1").await;
+    let revision = submissions.revision("s1").await.expect("a record");
+    submissions.cancel("s1", revision).await;
     let cancelled = submissions.state("s1").await;
     let unknown = submissions.state("s2").await;
 
@@ -77,3 +80,36 @@
     assert_eq!(cancelled, Ok(SubmissionState::Cancelled));
     assert_eq!(unknown, Err(StoreFault::Missing));
 }
+
+/// A submission that comes again after its end, also seconds late, must not run again.
+#[tokio::test]
+async fn submission_that_has_ended_is_not_stored_again() {
+    let store = FakeStore::default();
+    let submissions = SubmissionStore::new(store.port());
+    store.put(
+        &ended_key("s1"),
+        r#"{"state":"Completed","ended_unix_ms":1}"#,
+    );
+
+    let again = submissions.create("s1", record(), 0).await;
+    let state = submissions.state("s1").await;
+
+    assert!(matches!(again, StoreAnswer::Present(_)), "{again:?}");
+    assert_eq!(store.value(&submission_key("s1")), None);
+    assert_eq!(state, Ok(SubmissionState::Completed));
+}
+
+/// A cancelling that comes after the end leaves nothing behind.
+#[tokio::test]
+async fn cancelling_after_the_end_is_not_stored() {
+    let store = FakeStore::default();
+    let submissions = SubmissionStore::new(store.port());
+    submissions.create("s1", record(), 0).await;
+    let revision = submissions.revision("s1").await.expect("a record");
+    store.delete(&submission_key("s1"));
+
+    let answer = submissions.cancel("s1", revision).await;
+
+    assert_eq!(answer, StoreAnswer::OtherOwner(0));
+    assert_eq!(store.value(&cancel_key("s1")), None);
+}
--- a/crates/model/src/fleet_model.rs
+++ b/crates/model/src/fleet_model.rs
@@ -284,6 +284,9 @@
                 for (id, progress) in &batch.progress {
                     self.note_final(id, progress.state);
                 }
+                for ended in &batch.ended {
+                    self.note_final(&ended.id, ended.state);
+                }
             }
             Event::Advised(epoch, ask, outcome) => {
                 let now = self.now;
@@ -597,6 +600,7 @@
         let submissions: Vec<_> = self
             .jobs
             .iter()
+            .filter(|(_, entry)| entry.ended.is_none())
             .map(|(id, entry)| StoredSubmission {
                 record: entry.job.record.clone(),
                 created: entry.created,
@@ -607,6 +611,8 @@
         let recovered = RecoveredState {
             submissions,
             roster: self.roster.clone(),
+            revision: self.revision,
+            stray_cancels: Vec::new(),
             previous_acts_ms: 0,
         };
         let began = Instant::now();
