Leave ownership to hosts with much more processor

Change: a host with less than two thirds of the processor of another that it knows of, or of an owner before, leaves the claim to it for 1.5 s, and a small owner hands over after 4 s.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -18,7 +18,7 @@
 use crate::control::{ControlLink, HostView};
 use crate::event::FleetEvent;
 use crate::metrics::FleetMetrics;
-use crate::peer::{HelloReply, PeerLinks, PeerState};
+use crate::peer::{HelloReply, PeerLinks, PeerRef, PeerState};
 use crate::ports::{HoldOutcome, PlatformPorts};
 
 /// Age of a host's last greeting at which it is no longer asked for help, in milliseconds.
@@ -31,6 +31,14 @@
     suspended: bool,
 }
 
+/// A host that greeted this one.
+#[derive(Clone, Debug)]
+pub(super) struct HelperEntry {
+    pub peer: PeerRef,
+    /// When it greeted last.
+    pub greeted_at: u64,
+}
+
 /// Runs the owner's decisions.
 #[derive(xtra::Actor)]
 pub struct ControlActor {
@@ -43,8 +51,8 @@
     ownership: Option<Ownership>,
     /// Highest epoch that this host has yielded to; no lower one acts here any more.
     yielded_to: u64,
-    /// Hosts that greeted this one, with their addresses and the time.
-    helpers: BTreeMap<Arc<str>, (Arc<str>, u64)>,
+    /// Hosts that greeted this one.
+    helpers: BTreeMap<Arc<str>, HelperEntry>,
     pump_sent: bool,
     timer: Option<JoinHandle<()>>,
 }
@@ -94,7 +102,7 @@
         let mut helpers: BTreeSet<_> = self
             .helpers
             .iter()
-            .filter(|(_, (_, greeted_at))| now.saturating_sub(*greeted_at) < HELPER_AGE_MS)
+            .filter(|(_, helper)| now.saturating_sub(helper.greeted_at) < HELPER_AGE_MS)
             .map(|(host, _)| host.clone())
             .collect();
         helpers.insert(self.host.clone());
@@ -283,15 +291,22 @@
     async fn handle(&mut self, message: HelloMessage, _: &mut Context<Self>) -> HelloReply {
         let HelloMessage(call) = message;
         if call.can_ask {
-            self.helpers.insert(call.host, (call.address, now_ms()));
+            let helper = HelperEntry {
+                peer: PeerRef {
+                    address: call.address,
+                    processor_milli: call.processor_milli,
+                },
+                greeted_at: now_ms(),
+            };
+            self.helpers.insert(call.host, helper);
         }
         let machine = self.ownership.as_ref().map(|ownership| &ownership.machine);
         let now = now_ms();
         let peers = self
             .helpers
             .values()
-            .filter(|(_, greeted_at)| now.saturating_sub(*greeted_at) < HELPER_AGE_MS)
-            .map(|(address, _)| address.clone())
+            .filter(|helper| now.saturating_sub(helper.greeted_at) < HELPER_AGE_MS)
+            .map(|helper| helper.peer.clone())
             .collect();
         HelloReply {
             peers,
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use crate::clock::now_ms;
+use crate::control::control_actor::HelperEntry;
 use crate::control::{ControlInput, ControlLink};
 use crate::event::FleetEvent;
 use crate::metrics::FleetMetrics;
@@ -52,7 +53,7 @@
         &self,
         epoch: u64,
         effect: OwnerEffect,
-        helpers: &BTreeMap<Arc<str>, (Arc<str>, u64)>,
+        helpers: &BTreeMap<Arc<str>, HelperEntry>,
         valid_until: u64,
     ) {
         let runner = self.clone();
@@ -67,7 +68,9 @@
                 tokio::spawn(async move { runner.stop(order).await });
             }
             OwnerEffect::Ask(order) => {
-                let address = helpers.get(&order.host).map(|(address, _)| address.clone());
+                let address = helpers
+                    .get(&order.host)
+                    .map(|helper| helper.peer.address.clone());
                 tokio::spawn(async move { runner.ask(epoch, order, address).await });
             }
             OwnerEffect::Commit(batch) => {
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::now_ms;
 use crate::event::FleetEvent;
-use crate::peer::HelloReply;
+use crate::peer::{HelloReply, PeerRef};
 
 /// Age of the last answer of the store at which it counts as lost, in milliseconds.
 const STORE_LOST_MS: u64 = 1800;
@@ -39,8 +39,8 @@
     /// Waiting submissions by queue, and when the owner told them.
     waiting: HashMap<Arc<str>, u64>,
     waiting_at: u64,
-    /// Addresses of other hosts, as the owner told them.
-    peers: Vec<Arc<str>>,
+    /// Other hosts, as the owner told them.
+    peers: Vec<PeerRef>,
     stopping: bool,
     /// Epoch that this host owns the fleet in, once it has recovered.
     owned_epoch: Option<u64>,
@@ -146,17 +146,27 @@
         self.lock().owned_epoch
     }
 
-    /// Takes the addresses of other hosts.
-    pub fn set_peers(&self, peers: Vec<Arc<str>>) {
+    /// Takes the other hosts.
+    pub fn set_peers(&self, peers: Vec<PeerRef>) {
         self.lock().peers = peers;
     }
 
+    /// Returns the largest processor of the other hosts, in thousandths of a core.
+    #[must_use]
+    pub fn largest_peer_milli(&self) -> u32 {
+        let state = self.lock();
+        let peers = state.peers.iter().map(|peer| peer.processor_milli);
+        peers.max().unwrap_or(0)
+    }
+
     /// Returns the addresses of hosts that may relay calls to the store, the owner's first.
     #[must_use]
     pub fn relays(&self, own: &str) -> Vec<Arc<str>> {
         let state = self.lock();
         let owner = state.owner.iter().map(|owner| owner.address.clone());
-        let mut relays: Vec<_> = owner.chain(state.peers.iter().cloned()).collect();
+        let mut relays: Vec<_> = owner
+            .chain(state.peers.iter().map(|peer| peer.address.clone()))
+            .collect();
         relays.retain(|address| &**address != own);
         relays.dedup();
         relays
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -110,7 +110,7 @@
             links.clone(),
             view.clone(),
             control.clone(),
-            settings.processor_share,
+            settings.processor_milli(),
         );
         tokio::spawn(claims.run());
         let (stopping, stop) = watch::channel(false);
--- a/crates/host/src/ownership/claim_desk.rs
+++ b/crates/host/src/ownership/claim_desk.rs
@@ -5,7 +5,7 @@
 //! record under the condition of its revision, so one claim wins; the new revision is the epoch.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use serde_json::json;
@@ -44,15 +44,16 @@
 /// Age of the store's last answer up to which a host may claim, in milliseconds.
 const CLAIMANT_STORE_AGE_MS: u64 = 900;
 
-/// Pause before a claim of a host with a whole core, in milliseconds; it grows as the share falls.
-const WHOLE_CORE_PAUSE_MS: f64 = 15.0;
-
-/// Smallest share of a core that the pause grows for.
-const SMALLEST_SHARE: f64 = 0.05;
-
 /// Longest random pause before a claim, in milliseconds.
 const CLAIM_SPREAD_MS: u64 = 80;
 
+/// Pause before a claim of a host with much less processor than another, in milliseconds: time for
+/// the other to find the owner lost, or to start.
+const SMALL_HOST_PAUSE_MS: u64 = 1500;
+
+/// Time after which an owner hands over to a host with much more processor.
+const HANDOVER_AFTER: Duration = Duration::from_secs(4);
+
 /// Pause before another try to read what the store holds.
 const RECOVERY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,8 +75,8 @@
     pub view: HostView,
     /// The control actor.
     pub control: ControlLink,
-    /// Pause before a claim, in milliseconds: hosts with more processor come first.
-    pub claim_pause_ms: u64,
+    /// Processor of the host, in thousandths of a core; hosts with more claim first.
+    pub processor_milli: u32,
     pub(super) sight: watch::Receiver<OwnerSight>,
     pub(super) sight_sender: Arc<watch::Sender<OwnerSight>>,
     pub(super) contact: watch::Receiver<OwnerContact>,
@@ -97,7 +98,7 @@
         links: PeerLinks,
         view: HostView,
         control: ControlLink,
-        processor_share: f64,
+        processor_milli: u32,
     ) -> Self {
         let (sight_sender, sight) = watch::channel(OwnerSight::default());
         let (contact_sender, contact) = watch::channel(OwnerContact::default());
@@ -109,7 +110,7 @@
                 links,
                 view,
                 control,
-                claim_pause_ms: claim_pause_ms(processor_share),
+                processor_milli,
                 sight,
                 sight_sender: Arc::new(sight_sender),
                 contact,
@@ -126,9 +127,10 @@
             sleep(CLAIM_INTERVAL).await;
             let sight = self.parts.sight.borrow().clone();
             if let Some(reason) = self.parts.claim_reason() {
-                let pause = self.parts.claim_pause_ms + rand::random_range(0..CLAIM_SPREAD_MS);
-                sleep(Duration::from_millis(pause)).await;
-                let still = self.parts.claim_reason().is_some();
+                let pause_ms = self.parts.claim_pause_ms().await;
+                sleep(Duration::from_millis(pause_ms)).await;
+                let still = self.parts.claim_reason().is_some()
+                    && self.parts.sight.borrow().revision == sight.revision;
                 if still && !(reason == OWNER_SILENT && self.parts.owner_answers().await) {
                     self.parts.claim(reason, sight).await;
                 }
@@ -147,10 +149,21 @@
             host: self.host.clone(),
             address: self.address.clone(),
             can_ask: true,
+            processor_milli: self.processor_milli,
         };
         self.links.hello(&owner.address, call).await.is_ok()
     }
 
+    /// Returns how long this host leaves the claim to others, in milliseconds.
+    async fn claim_pause_ms(&self) -> u64 {
+        let history = self.read_history().await;
+        let largest_owner = history.map_or(0, |(history, _)| history.largest_processor_milli);
+        let largest = self.view.largest_peer_milli().max(largest_owner);
+        let small = is_much_smaller(self.processor_milli, largest);
+        let pause_ms = if small { SMALL_HOST_PAUSE_MS } else { 0 };
+        pause_ms + rand::random_range(0..CLAIM_SPREAD_MS)
+    }
+
     /// Tells why this host should claim, if it should.
     fn claim_reason(&self) -> Option<&'static str> {
         let sight = self.sight.borrow().clone();
@@ -201,7 +214,12 @@
             .record
             .as_ref()
             .filter(|previous| previous.host != self.host);
-        let next = history.after_claim(previous.is_some(), unix_ms(), OWNER_LEASE_MS);
+        let next = history.after_claim(
+            previous.is_some(),
+            unix_ms(),
+            OWNER_LEASE_MS,
+            self.processor_milli,
+        );
         let (Ok(value), Ok(next_value)) = (serde_json::to_vec(&record), serde_json::to_vec(&next))
         else {
             return;
@@ -308,16 +326,23 @@
     /// Renews the ownership; ends when it is over.
     async fn renew(self, epoch: u64, lease: LeaseGrant) {
         let mut owned = false;
+        let began_at = Instant::now();
         loop {
             sleep(RENEW_INTERVAL).await;
             let owns = self.view.owned_epoch() == Some(epoch);
             if owned && !owns {
-                self.resign(epoch, lease).await;
+                self.resign(epoch, lease, "the host yielded").await;
                 return;
             }
             owned |= owns;
             if self.view.is_stopping() {
-                self.resign(epoch, lease).await;
+                self.resign(epoch, lease, "the host is stopping").await;
+                return;
+            }
+            let small = is_much_smaller(self.processor_milli, self.view.largest_peer_milli());
+            if owns && small && began_at.elapsed() > HANDOVER_AFTER {
+                let reason = "a host with more processor is there";
+                self.resign(epoch, lease, reason).await;
                 return;
             }
             if self.sight.borrow().revision > epoch {
@@ -344,8 +369,8 @@
     }
 
     /// Gives the ownership up in good order.
-    async fn resign(&self, epoch: u64, lease: LeaseGrant) {
-        self.end(epoch, "the host is stopping").await;
+    async fn resign(&self, epoch: u64, lease: LeaseGrant, reason: &'static str) {
+        self.end(epoch, reason).await;
         let call = WriteCall {
             expected: vec![(OWNER_KEY.to_owned(), epoch)],
             delete: vec![OWNER_KEY.to_owned()],
@@ -362,11 +387,8 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a small positive time"
-)]
-fn claim_pause_ms(processor_share: f64) -> u64 {
-    (WHOLE_CORE_PAUSE_MS / processor_share.max(SMALLEST_SHARE)) as u64
+/// Tells whether a host has much less processor than another.
+#[must_use]
+pub fn is_much_smaller(processor_milli: u32, other_milli: u32) -> bool {
+    u64::from(processor_milli) * 3 < u64::from(other_milli) * 2
 }
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -4,4 +4,4 @@
 mod owner_readings;
 mod owner_watch;
 
-pub use claim_desk::{ClaimDesk, OwnershipParts};
+pub use claim_desk::{ClaimDesk, OwnershipParts, is_much_smaller};
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -126,6 +126,7 @@
                 host: self.host.clone(),
                 address: self.address.clone(),
                 can_ask: !self.view.is_stopping(),
+                processor_milli: self.processor_milli,
             };
             let reply = if owner.host == self.host {
                 Ok(self.control.hello(call).await)
--- a/crates/host/src/peer/fleet_peer.rs
+++ b/crates/host/src/peer/fleet_peer.rs
@@ -17,6 +17,17 @@
     pub address: Arc<str>,
     /// Whether it can ask the policy service.
     pub can_ask: bool,
+    /// Processor of the host, in thousandths of a core.
+    pub processor_milli: u32,
+}
+
+/// Another host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerRef {
+    /// Its address for the hosts' own calls.
+    pub address: Arc<str>,
+    /// Its processor, in thousandths of a core.
+    pub processor_milli: u32,
 }
 
 /// What the owner answers.
@@ -28,8 +39,8 @@
     pub store_age_ms: u64,
     /// Submissions without a started task, by queue.
     pub waiting: HashMap<Arc<str>, u64>,
-    /// Addresses of the hosts that greeted the owner of late.
-    pub peers: Vec<Arc<str>>,
+    /// The hosts that greeted the owner of late.
+    pub peers: Vec<PeerRef>,
 }
 
 /// A submission that is stored.
--- a/crates/host/src/settings/fleet_settings.rs
+++ b/crates/host/src/settings/fleet_settings.rs
@@ -98,4 +98,15 @@
     pub fn peer_address(&self) -> String {
         format!("{}:{}", self.ip, self.peer_ports.0)
     }
+
+    /// Returns the processor of the host, in thousandths of a core.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small positive number"
+    )]
+    pub fn processor_milli(&self) -> u32 {
+        (self.processor_share * 1000.0).max(0.0) as u32
+    }
 }
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -18,13 +18,22 @@
     pub owners: u32,
     /// Until when one that was replaced may act, in milliseconds since 1970.
     pub acting_until_unix_ms: u64,
+    /// Largest processor of a host that has owned the fleet, in thousandths of a core.
+    #[serde(default)]
+    pub largest_processor_milli: u32,
 }
 
 impl OwnerHistory {
     /// Returns the history after a claim; `replaces_other` says that the owner's record names
     /// another host, which may act for as long as its lease in the store.
     #[must_use]
-    pub fn after_claim(self, replaces_other: bool, unix_ms: u64, lease_ms: u64) -> Self {
+    pub fn after_claim(
+        self,
+        replaces_other: bool,
+        unix_ms: u64,
+        lease_ms: u64,
+        processor_milli: u32,
+    ) -> Self {
         let acting_until = if replaces_other {
             unix_ms + lease_ms
         } else {
@@ -33,6 +42,7 @@
         Self {
             owners: self.owners + 1,
             acting_until_unix_ms: self.acting_until_unix_ms.max(acting_until),
+            largest_processor_milli: self.largest_processor_milli.max(processor_milli),
         }
     }
 }
