--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -1,6 +1,6 @@
 //! Order in which progress reaches the store.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::model::{ProgressRecord, SubmissionState};
@@ -53,16 +53,17 @@
     Unknown,
 }
 
-/// Submissions whose progress is not stored yet, oldest first.
+/// Submissions whose progress is not stored yet.
 ///
 /// Each change carries a mark; marks grow. An end may be acknowledged to its upstream once every
 /// change up to its mark is stored.
 #[derive(Debug, Default)]
 pub(super) struct CommitQueue {
     next_mark: u64,
-    queue: VecDeque<(u64, Arc<str>)>,
+    /// Submissions that wait, oldest change first.
+    queue: BTreeMap<u64, Arc<str>>,
     queued: HashMap<Arc<str>, u64>,
-    in_flight: Vec<(u64, Arc<str>)>,
+    in_flight: BTreeMap<u64, Arc<str>>,
     is_sent: bool,
     pub urgent: bool,
     pub last_sent_at: u64,
@@ -75,20 +76,17 @@
             return *mark;
         }
         self.next_mark += 1;
-        self.queue.push_back((self.next_mark, submission.clone()));
+        self.queue.insert(self.next_mark, submission.clone());
         self.queued.insert(submission.clone(), self.next_mark);
         self.next_mark
     }
 
     /// Returns the mark up to which every change is stored.
     pub fn stored_mark(&self) -> u64 {
-        let waiting = self.queue.front().map(|(mark, _)| *mark);
-        let sent = self.in_flight.first().map(|(mark, _)| *mark);
-        match (waiting, sent) {
-            (None, None) => self.next_mark,
-            (Some(mark), None) | (None, Some(mark)) => mark - 1,
-            (Some(one), Some(other)) => one.min(other) - 1,
-        }
+        let waiting = self.queue.keys().next();
+        let sent = self.in_flight.keys().next();
+        let open = waiting.into_iter().chain(sent).min();
+        open.map_or(self.next_mark, |mark| mark - 1)
     }
 
     pub fn is_idle(&self) -> bool {
@@ -99,26 +97,36 @@
         self.queue.is_empty()
     }
 
-    /// Takes the submissions of the next commit, as many as its entries allow.
-    pub fn take(&mut self, entries_of: impl Fn(&Arc<str>) -> usize) -> Vec<Arc<str>> {
+    /// Takes the submissions of the next commit, as many as its entries allow: first those with a
+    /// final state, which callers wait for.
+    pub fn take(
+        &mut self,
+        is_final: impl Fn(&Arc<str>) -> bool,
+        entries_of: impl Fn(&Arc<str>) -> usize,
+    ) -> Vec<Arc<str>> {
         let mut left = MAX_ENTRIES;
-        let fits = |(_, id): &&(u64, Arc<str>)| {
-            let entries = entries_of(id);
-            let fits = entries <= left;
-            left = left.saturating_sub(entries);
-            fits
-        };
-        let count = self.queue.iter().take_while(fits).count();
+        let mut marks = Vec::new();
+        for wanted in [true, false] {
+            for (mark, id) in &self.queue {
+                if left == 0 {
+                    break;
+                }
+                let entries = entries_of(id);
+                if is_final(id) == wanted && entries <= left {
+                    left -= entries;
+                    marks.push(*mark);
+                }
+            }
+        }
         self.is_sent = true;
-        self.in_flight = self.queue.drain(..count).collect();
-        for (_, submission) in &self.in_flight {
-            self.queued.remove(submission);
+        for mark in marks {
+            if let Some(id) = self.queue.remove(&mark) {
+                self.queued.remove(&id);
+                self.in_flight.insert(mark, id);
+            }
         }
-        self.urgent = !self.queue.is_empty();
-        self.in_flight
-            .iter()
-            .map(|(_, submission)| submission.clone())
-            .collect()
+        self.urgent = self.queue.values().any(is_final);
+        self.in_flight.values().cloned().collect()
     }
 
     /// Ends the commit in flight; returns the submissions that are stored.
@@ -126,12 +134,13 @@
         let sent = std::mem::take(&mut self.in_flight);
         self.is_sent = false;
         if stored {
-            return sent.into_iter().map(|(_, submission)| submission).collect();
+            return sent.into_values().collect();
         }
-        for (mark, submission) in sent.into_iter().rev() {
-            self.queue.retain(|(_, waiting)| *waiting != submission);
-            self.queued.insert(submission.clone(), mark);
-            self.queue.push_front((mark, submission));
+        for (mark, submission) in sent {
+            if let Some(newer) = self.queued.insert(submission.clone(), mark) {
+                self.queue.remove(&newer);
+            }
+            self.queue.insert(mark, submission);
         }
         self.urgent = true;
         Vec::new()
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -68,8 +68,9 @@
     pub(super) proof_wanted: bool,
     /// Time of day at the last tick, in milliseconds since 1970.
     pub(super) unix_ms: u64,
-    /// What each team had running at each upstream when the last commit was stored.
-    pub(super) journaled_usage: HashMap<(Arc<str>, Arc<str>), ResourceSize>,
+    /// What each team has running by the journal; equals the sum over the submissions' journaled
+    /// runs.
+    pub(super) journaled: HashMap<Arc<str>, ResourceSize>,
     /// Whether the store has not answered the host of late: a successor may be at work elsewhere.
     pub(super) unconfirmed: bool,
     /// Mean slowness of all upstreams' runs; 0 before the first.
@@ -115,7 +116,7 @@
             proven_revision: epoch,
             proof_wanted: false,
             unix_ms: 0,
-            journaled_usage: HashMap::new(),
+            journaled: HashMap::new(),
             unconfirmed: false,
             mean_slowness: 0.0,
         }
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -42,6 +42,16 @@
         self.spec().booking()
     }
 
+    /// Returns what starts together: one task, or a whole gang.
+    pub fn unit(&self) -> ResourceSize {
+        let together = if self.spec().gang {
+            self.spec().count
+        } else {
+            1
+        };
+        self.spec().demand.times(u64::from(together))
+    }
+
     /// Returns the team of the submission.
     pub fn team(&self) -> Option<&Arc<str>> {
         self.record.team.as_ref()
@@ -161,8 +171,8 @@
         call: &StepCall,
         view: &mut FleetView,
     ) -> Vec<TaskChoice> {
-        let team_room = self.team_room_in(now, call.team(), view);
         let demand = call.spec().demand;
+        let team_room = self.team_room_in(now, call.team(), &call.unit(), view);
         let allowed = usize::try_from(team_room.count(&demand)).unwrap_or(usize::MAX);
         let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
         else {
--- a/crates/fleet/src/owner/preemption.rs
+++ b/crates/fleet/src/owner/preemption.rs
@@ -81,13 +81,9 @@
         if let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step) {
             step.search_not_before = now + SEARCH_PAUSE_MS;
         }
-        let team_room = self.team_room_in(now, call.team(), view);
-        let wanted = if claim == RoomClaim::Gang {
-            left as u64
-        } else {
-            1
-        };
-        if team_room.count(&call.spec().demand) < wanted {
+        let unit = call.unit();
+        let team_room = self.team_room_in(now, call.team(), &unit, view);
+        if !unit.fits(&team_room) {
             return;
         }
         for set in self.choose_victims(now, ready, call, claim, left as u64, view) {
--- a/crates/fleet/src/owner/question.rs
+++ b/crates/fleet/src/owner/question.rs
@@ -66,11 +66,8 @@
         if step.asking.is_some() || now < step.ask_not_before || !self.desk.has_host(now, long) {
             return;
         }
-        if !call
-            .spec()
-            .demand
-            .fits(&self.team_room_in(now, call.team(), view))
-        {
+        let unit = call.unit();
+        if !unit.fits(&self.team_room_in(now, call.team(), &unit, view)) {
             return;
         }
         let upstreams = self.upstreams_to_ask(now, ready, call, left as u64, desk, view);
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -12,6 +12,7 @@
 use crate::model::{ProgressRecord, ResourceSize, SubmissionRecord, TaskName, UpstreamReport};
 use crate::owner::OwnerMachine;
 use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
+use crate::owner::team_room::journaled_runs;
 use crate::owner::upstream_entry::{RunEntry, RunPhase, Silence, UpstreamEntry};
 
 /// Largest difference between two hosts' times of day that is allowed for, in milliseconds.
@@ -129,6 +130,9 @@
         }
         self.active.insert(id.clone());
         self.ready.note(&id);
+        let record = &self.submissions[&id].record;
+        let journaled = journaled_runs(record, &progress);
+        self.set_journaled(&id, journaled);
         for run in progress.runs {
             let name = TaskName {
                 submission: id.clone(),
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -55,6 +55,10 @@
             self.forget_unless_waiting(ready);
             return;
         }
+        let team_room = call.team().and_then(|team| view.team_rooms.get(team));
+        if team_room.is_some_and(|room| room.waits_for_journal(&call.unit())) {
+            self.commits.urgent = true;
+        }
         if call.needs_ticket {
             self.ask_for_step(now, ready, &call, left, view);
         }
@@ -124,7 +128,7 @@
         };
         slot.free = slot.free.saturating_sub(&run.booking);
         if let Some(room) = call.team().and_then(|team| view.team_rooms.get_mut(team)) {
-            *room = room.saturating_sub(&run.demand);
+            room.take(&run.demand);
         }
         self.book(&upstream, &name, run);
         if let Some(task) = self.task_mut(&name) {
@@ -132,6 +136,7 @@
             task.attempt = attempt;
             task.upstream = Some(upstream.clone());
         }
+        self.note_change(&ready.submission, false);
         self.effects.push(OwnerEffect::Start(StartOrder {
             task: name,
             attempt,
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -5,6 +5,7 @@
 
 use crate::model::{ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState};
 use crate::owner::fleet_view::UpstreamSlot;
+use crate::owner::team_room::JournaledRun;
 
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -102,6 +103,8 @@
     pub stored_at: u64,
     /// Runs that are booked at all upstreams.
     pub booked_runs: u32,
+    /// Runs that the journal names.
+    pub journaled_runs: Vec<JournaledRun>,
     /// Whether its end is all that the store keeps.
     pub moved: bool,
 }
@@ -130,6 +133,7 @@
             stored: false,
             stored_at: 0,
             booked_runs: 0,
+            journaled_runs: Vec::new(),
             moved: false,
         }
     }
--- a/crates/fleet/src/owner/upkeep.rs
+++ b/crates/fleet/src/owner/upkeep.rs
@@ -4,6 +4,7 @@
 
 use crate::model::{ResourceSize, TaskName};
 use crate::owner::commit_queue::{ENDED_ENTRIES, MAX_ENTRIES, PROGRESS_ENTRIES};
+use crate::owner::team_room::journaled_runs;
 use crate::owner::upstream_entry::{RunPhase, Silence};
 use crate::owner::{
     CommitBatch, CommitOutcome, EndedSubmission, HoldOrder, OwnerEffect, OwnerMachine, RosterEntry,
@@ -256,10 +257,16 @@
             return;
         }
         let submissions = &self.submissions;
-        let ids = self.commits.take(|id| match submissions.get(id) {
-            Some(entry) if entry.is_over() => ENDED_ENTRIES,
-            _ => PROGRESS_ENTRIES,
-        });
+        let ids = self.commits.take(
+            |id| {
+                let entry = submissions.get(id);
+                entry.is_some_and(|entry| entry.state.is_final())
+            },
+            |id| match submissions.get(id) {
+                Some(entry) if entry.is_over() => ENDED_ENTRIES,
+                _ => PROGRESS_ENTRIES,
+            },
+        );
         self.commits.last_sent_at = now;
         let mut batch = CommitBatch::default();
         let mut left = MAX_ENTRIES;
@@ -321,6 +328,9 @@
         match outcome {
             CommitOutcome::Fenced => self.depose(),
             CommitOutcome::Unknown => {
+                for (id, progress) in &batch.progress {
+                    self.doubt_journaled(id, progress);
+                }
                 self.forgotten.extend(batch.forgotten.iter().cloned());
                 let strays = batch.stray_cancels.iter().cloned();
                 self.stray_cancels.extend(strays);
@@ -329,12 +339,18 @@
             }
             CommitOutcome::Stored => {
                 self.proven_revision = self.proven_revision.max(revision);
-                self.note_usage();
                 self.placement_wanted = true;
                 for id in ids {
                     self.note_stored(now, &id, batch);
                 }
+                for (id, progress) in &batch.progress {
+                    let record = self.submissions.get(id).map(|entry| entry.record.clone());
+                    if let Some(record) = record {
+                        self.set_journaled(id, journaled_runs(&record, progress));
+                    }
+                }
                 for ended in &batch.ended {
+                    self.set_journaled(&ended.id, Vec::new());
                     self.note_moved(now, &ended.id);
                 }
                 for member in batch.roster.iter().flatten() {
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -9,7 +9,7 @@
     StoredSubmission,
 };
 
-use crate::fixtures::{POOL, TEAM, config, queue, report, step, submission};
+use crate::fixtures::{POOL, TEAM, config, queue, report, step, submission, ticketed_queue};
 use crate::world::{Trouble, World};
 
 /// A failed end that is journaled and not acknowledged is listed again to the next owner.
@@ -436,3 +436,36 @@
     assert_eq!(world.started.len(), 1);
     assert_eq!(world.findings, Vec::<String>::new());
 }
+
+/// A new owner counts what the one before started just now at upstreams that it can't reach.
+#[test]
+fn new_owner_counts_fresh_starts_out_of_reach() {
+    let policy = ticketed_queue("ledger", 2);
+    let limit = ResourceSize::new(6000, 0, 0);
+    let mut world = World::new(5, config(vec![policy.clone()], limit), 4);
+    world.take_over();
+    world.run_until(world.now + 1000);
+    world.run_ms = Some(100);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(6)
+    };
+    world.submit(&submission("s1", &policy, vec![step(1), second]));
+    world.run_until(world.now + 600);
+    world.run_ms = Some(5000);
+    world.run_until(world.now + 1400);
+    let homes: Vec<_> = world.started[1..]
+        .iter()
+        .map(|order| order.upstream.clone())
+        .collect();
+    for home in homes {
+        world.cut.insert(home, world.now + 4000);
+    }
+
+    world.take_over_beside(3000);
+    world.submit(&submission("s2", &policy, vec![step(6)]));
+    world.run_until(world.now + 2000);
+
+    let running = world.running().cpu_milli;
+    assert!(running <= 6600 + 1000, "{running} of 6000");
+}
--- a/crates/fleet/tests/fleet/world_checks.rs
+++ b/crates/fleet/tests/fleet/world_checks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use lagoonnotch_fleet::model::TaskName;
+use lagoonnotch_fleet::model::{ResourceSize, TaskName};
 use lagoonnotch_fleet::owner::{HoldOrder, StartOrder};
 
 use crate::world::World;
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Returns what runs at all upstreams together.
+    pub(crate) fn running(&self) -> ResourceSize {
+        self.upstreams
+            .values()
+            .flat_map(|upstream| upstream.runs.values())
+            .fold(ResourceSize::ZERO, |sum, run| sum + run.size)
+    }
+
     /// Finds upstreams that were over their capacity.
     pub fn check_capacity(&mut self) {
         for upstream in self.upstreams.values() {
