--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -452,6 +452,7 @@
             }
         }
         self.book(upstream, name, run);
+        self.note_change(&name.submission, false);
         if !wanted {
             self.stop_run(now, upstream, name);
         }
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -55,9 +55,12 @@
             self.forget_unless_waiting(ready);
             return;
         }
-        let team_room = call.team().and_then(|team| view.team_rooms.get(team));
-        if team_room.is_some_and(|room| room.waits_for_journal(&call.unit())) {
-            self.commits.urgent = true;
+        if let Some(team) = call.team()
+            && let Some(room) = view.team_rooms.get_mut(team)
+            && room.waits_for_journal(&call.unit())
+            && !std::mem::replace(&mut room.is_noted, true)
+        {
+            self.journal_team(team);
         }
         if call.needs_ticket {
             self.ask_for_step(now, ready, &call, left, view);
--- a/crates/fleet/src/owner/team_room.rs
+++ b/crates/fleet/src/owner/team_room.rs
@@ -55,6 +55,8 @@
     unjournaled: ResourceSize,
     /// What may run beyond what the journal names; none while the store does not answer.
     slack: Option<ResourceSize>,
+    /// Whether the team's runs were noted for the journal in this pass.
+    pub is_noted: bool,
 }
 
 impl TeamRoom {
@@ -63,6 +65,7 @@
         headroom: ResourceSize::new(UNLIMITED, UNLIMITED, UNLIMITED),
         unjournaled: ResourceSize::ZERO,
         slack: None,
+        is_noted: false,
     };
 
     /// Returns the room for tasks; what starts together may always go ahead of the journal.
@@ -120,6 +123,7 @@
             headroom: bounded(journaled.saturating_sub(&counted)),
             unjournaled: counted.saturating_sub(&journaled),
             slack: (!self.unconfirmed).then(|| limit.divided(UNJOURNALED_PART)),
+            is_noted: false,
         }
     }
 
@@ -165,6 +169,25 @@
         *usage = usage.saturating_sub(&sum(&before)) + after;
     }
 
+    /// Has the runs of a team journaled at once that the journal does not name.
+    pub(super) fn journal_team(&mut self, team: &Arc<str>) {
+        let behind: Vec<_> = self
+            .active
+            .iter()
+            .filter(|id| {
+                let entry = self.submissions.get(*id);
+                entry.is_some_and(|entry| {
+                    entry.record.team.as_ref() == Some(team)
+                        && entry.booked_runs as usize != entry.journaled_runs.len()
+                })
+            })
+            .cloned()
+            .collect();
+        for id in behind {
+            self.note_change(&id, true);
+        }
+    }
+
     /// Notes that a record of progress may or may not be stored: what both agree on is journaled.
     pub(super) fn doubt_journaled(&mut self, id: &Arc<str>, progress: &ProgressRecord) {
         let Some(entry) = self.submissions.get(id) else {
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -469,3 +469,25 @@
     let running = world.running().cpu_milli;
     assert!(running <= 6600 + 1000, "{running} of 6000");
 }
+
+/// A run that the journal does not name counts against what its team may run ahead of the journal,
+/// so it has to be journaled when it is adopted.
+#[test]
+fn adopted_run_is_journaled() {
+    let policy = queue("ledger", 2);
+    let mut owner = owner_with_journaled_run(&policy);
+
+    owner.on_hold(1010, 1000, &"u1".into(), &listing(&[("s1.0.0.0", 2)], &[]));
+    owner.tick(1020, 1020, true, 0);
+
+    let effects = owner.take_effects();
+    let journaled = effects.iter().any(|effect| match effect {
+        OwnerEffect::Commit(batch) => batch
+            .progress
+            .iter()
+            .flat_map(|(_, progress)| &progress.runs)
+            .any(|run| run.attempt == 2 && &*run.upstream == "u1"),
+        _ => false,
+    });
+    assert!(journaled, "{effects:?}");
+}
