Ask the store again after its usual time, by turns through a peer and directly

Change: a call without an answer is made again after six times the mean answer (90 to 450 ms), up to four times; the first usable answer counts, and a write that finds what it would have written was done. Test: repeated_write_finds_its_first_call.

--- a/crates/host/src/daemon/store_relay.rs
+++ b/crates/host/src/daemon/store_relay.rs
@@ -35,6 +35,7 @@
     let (read_relays, list_relays, write_relays) = (relays.clone(), relays.clone(), relays);
     RelayCalls {
         direct_is_down: Arc::new(move || down_view.store_is_silent()),
+        latency: Arc::default(),
         read: port(move |key: String| {
             let (links, relays) = (read_links.clone(), read_relays());
             async move {
--- a/crates/host/src/entry/entry_desk.rs
+++ b/crates/host/src/entry/entry_desk.rs
@@ -202,6 +202,7 @@
     }
 
     /// Stores a submission with the proof of who owns the fleet; the owner may just have changed.
+    /// A write that found another owner was not done and never will be: epochs do not come back.
     async fn create(&self, id: &str, record: &[u8]) -> (StoreAnswer, Option<u64>) {
         let mut epoch = self.view.owner().map_or(0, |owner| owner.epoch);
         let mut answer = StoreAnswer::NotStored;
--- a/crates/host/src/store/mod.rs
+++ b/crates/host/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit_desk;
 mod key_layout;
+mod latency_gauge;
 mod recovery_reader;
 mod relayed_store;
 mod submission_store;
@@ -11,6 +12,7 @@
     COMMIT_KEY, EndedRecord, GENERATION_KEY, OWNER_KEY, OwnerHistory, OwnerRecord, ROSTER_KEY,
     cancel_key, ended_key, progress_key, submission_key,
 };
+pub use latency_gauge::LatencyGauge;
 pub use recovery_reader::{list_all, read_recovered, submission_of};
 pub use relayed_store::{RelayCalls, relayed_store};
 pub use submission_store::{StoreAnswer, SubmissionStore};
--- a/crates/host/src/store/submission_store.rs
+++ b/crates/host/src/store/submission_store.rs
@@ -67,9 +67,16 @@
 
     /// Writes a call that sets the first of the keys; each of them says that it is not needed.
     async fn write(&self, call: WriteCall, keys: Vec<String>) -> StoreAnswer {
+        let written = call.set.first().map(|(_, value)| value.clone());
         match (self.store.write)(call).await {
             WriteOutcome::Done(revision) => StoreAnswer::Stored(revision),
-            WriteOutcome::Conflict(items) => conflict(&keys, &items),
+            WriteOutcome::Conflict(items) => match conflict(&keys, &items) {
+                // The call may have been made twice, and done the first time.
+                StoreAnswer::Present(created) if is_written(&keys[0], &items, written.as_ref()) => {
+                    StoreAnswer::Stored(created)
+                }
+                answer => answer,
+            },
             WriteOutcome::NotDone | WriteOutcome::NoLease => StoreAnswer::NotStored,
             WriteOutcome::Unknown => self.settle(keys).await,
         }
@@ -155,6 +162,12 @@
     }
 }
 
+/// Tells whether an item holds just what was to be written.
+fn is_written(key: &str, items: &[StoreItem], written: Option<&Bytes>) -> bool {
+    let mut items = items.iter();
+    items.any(|item| item.key == key && Some(&item.value) == written)
+}
+
 /// Tells which condition of a write did not hold; items that do not exist have revision 0.
 fn conflict(keys: &[String], items: &[StoreItem]) -> StoreAnswer {
     let present = |wanted: &str| {
--- a/crates/host/tests/host/relay.rs
+++ b/crates/host/tests/host/relay.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use lagoonnotch_host::ports::{ListCall, StoreFault, WriteCall, WriteOutcome, port};
-use lagoonnotch_host::store::{RelayCalls, StoreAnswer, SubmissionStore, relayed_store};
+use lagoonnotch_host::ports::{ListCall, StoreFault, StorePort, WriteCall, WriteOutcome, port};
+use lagoonnotch_host::store::{
+    RelayCalls, StoreAnswer, SubmissionStore, relayed_store, submission_key,
+};
 
 use crate::fake_store::{FakeStore, Fate};
 
@@ -14,6 +16,7 @@
     let (read, write) = (reached.clone(), reached);
     RelayCalls {
         direct_is_down: Arc::new(move || direct_is_down),
+        latency: Arc::default(),
         read: port(move |key: String| {
             let store = read.clone();
             async move {
@@ -77,3 +80,36 @@
 
     assert_eq!(answer, StoreAnswer::Unsettled);
 }
+
+/// Of several calls of the same write one is done; the others find it.
+#[tokio::test]
+async fn repeated_write_finds_its_first_call() {
+    let store = FakeStore::default();
+    let direct = store.port();
+    let relay = relay(Some(&store), false);
+    let store_port = relayed_store(&losing_answers(&direct), &relay);
+
+    let answer = SubmissionStore::new(store_port)
+        .create("s1", Bytes::from_static(b"{}"), 0)
+        .await;
+
+    let created = (direct.read)(submission_key("s1"))
+        .await
+        .map(|item| item.created);
+    assert_eq!(Ok(answer), created.map(StoreAnswer::Stored));
+}
+
+/// The store, with writes that are done and not answered.
+fn losing_answers(store: &StorePort) -> StorePort {
+    let write = store.write.clone();
+    StorePort {
+        write: port(move |call: WriteCall| {
+            let done = write(call);
+            async move {
+                done.await;
+                WriteOutcome::Unknown
+            }
+        }),
+        ..store.clone()
+    }
+}
