--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -312,6 +312,7 @@
             peers,
             epoch: machine.map(OwnerMachine::epoch),
             store_age_ms: self.view.store_age_ms(),
+            config: None,
             waiting: machine
                 .map(OwnerMachine::waiting_counts)
                 .unwrap_or_default(),
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -93,6 +93,7 @@
     HelloReply {
         epoch: None,
         store_age_ms: u64::MAX,
+        config: None,
         waiting: std::collections::HashMap::new(),
         peers: Vec::new(),
     }
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use lagoonnotch_fleet::model::ApprovedState;
+use tokio::sync::Notify;
 
 use crate::clock::now_ms;
 use crate::event::FleetEvent;
-use crate::peer::{HelloReply, PeerRef};
+use crate::peer::{ConfigSight, HelloReply, PeerRef};
 
 /// Age of the last answer of the store at which it counts as lost, in milliseconds.
 const STORE_LOST_MS: u64 = 1800;
@@ -30,8 +31,13 @@
 struct ViewState {
     config: Option<Arc<ApprovedState>>,
     evacuated: BTreeSet<Arc<str>>,
-    /// When the newest linearizable reading of the configuration began.
+    /// When the newest linearizable reading of the configuration began, by this host or by the
+    /// owner.
     config_read_at: u64,
+    /// Digest of what the operator wrote, as it was read last.
+    config_digest: u64,
+    /// Whether the owner has read something else than this host.
+    reading_wanted: bool,
     /// When the last call began that the store answered.
     store_answered_at: u64,
     store_lost: bool,
@@ -50,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostView {
     state: Arc<Mutex<ViewState>>,
+    /// Wakes the reader of the configuration.
+    reading: Arc<Notify>,
 }
 
 impl HostView {
@@ -58,6 +66,7 @@
     pub fn set_config(
         &self,
         read_at: u64,
+        digest: u64,
         config: Option<Arc<ApprovedState>>,
         evacuated: BTreeSet<Arc<str>>,
     ) -> bool {
@@ -66,6 +75,7 @@
             return false;
         }
         state.config_read_at = read_at;
+        state.config_digest = digest;
         let held = state.config.as_ref().map_or(0, |held| held.revision);
         let newer = config.as_ref().is_some_and(|config| config.revision > held);
         if newer {
@@ -76,6 +86,29 @@
         newer || changed
     }
 
+    /// Takes what the owner says of its last reading, which began at `read_at` at the earliest: it
+    /// confirms what this host has, or has this host read anew.
+    pub fn confirm_config(&self, digest: u64, read_at: u64) {
+        let mut state = self.lock();
+        if digest == state.config_digest {
+            state.config_read_at = state.config_read_at.max(read_at);
+        } else {
+            state.reading_wanted = true;
+            self.reading.notify_one();
+        }
+    }
+
+    /// Waits until a new reading of the configuration is wanted.
+    pub async fn reading_wanted(&self) {
+        self.reading.notified().await;
+    }
+
+    /// Tells whether a new reading of the configuration is wanted, and takes the wish.
+    #[must_use]
+    pub fn takes_wanted_reading(&self) -> bool {
+        std::mem::take(&mut self.lock().reading_wanted)
+    }
+
     /// Returns the configuration in force, and when it was known to be the newest.
     #[must_use]
     pub fn config(&self) -> Option<(Arc<ApprovedState>, u64)> {
@@ -186,9 +219,14 @@
         let store_age_ms = self.store_age_ms();
         let state = self.lock();
         let owns = state.owned_epoch.is_some();
+        let reading = ConfigSight {
+            digest: state.config_digest,
+            age_ms: now_ms().saturating_sub(state.config_read_at),
+        };
         HelloReply {
             epoch: state.owned_epoch,
             store_age_ms,
+            config: Some(reading),
             waiting: if owns {
                 state.waiting.clone()
             } else {
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use crate::control::{ControlActor, ControlLink, HostView};
-use crate::daemon::config_reader::follow_config;
+use crate::daemon::config_reader::ConfigReader;
 use crate::daemon::store_relay::relay_calls;
 use crate::entry::{EntryAnswer, EntryCall, EntryDesk, OwnerOutbox};
 use crate::event::{FleetEvent, set_host};
@@ -95,14 +95,15 @@
         };
         tokio::spawn(server.serve(peers));
         let (limit_sender, limits) = watch::channel(FIRST_LIMITS);
-        tokio::spawn(follow_config(
-            ports.clone(),
-            relayed.clone(),
-            view.clone(),
-            control.clone(),
-            metrics.clone(),
-            limit_sender,
-        ));
+        let reader = ConfigReader {
+            ports: ports.clone(),
+            relayed: relayed.clone(),
+            view: view.clone(),
+            control: control.clone(),
+            metrics: metrics.clone(),
+            limits: limit_sender,
+        };
+        tokio::spawn(reader.run());
         let claims = ClaimDesk::new(
             settings.host.clone(),
             settings.peer_address().into(),
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -10,12 +10,15 @@
 use crate::event::FleetEvent;
 use crate::ownership::OwnershipParts;
 use crate::peer::HelloCall;
-use crate::ports::{StoreFault, StoreItem, WatchCall};
+use crate::ports::{ListCall, StoreFault, StoreItem, WatchCall};
 use crate::store::{OWNER_KEY, OwnerRecord};
 
 /// How long a watch of the owner's record waits, in milliseconds; a connection may go silent.
 const WATCH_WAIT_MS: u64 = 2000;
 
+/// Watches of the owner's record before it is read again; watches may miss changes.
+const WATCHES_PER_READING: u32 = 4;
+
 /// Pause after a call to the store that failed.
 const FAULT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -56,27 +59,29 @@
     pub(super) async fn follow_owner(self) {
         loop {
             let began_at = now_ms();
-            let revision = match (self.ports.store.read)(OWNER_KEY.to_owned()).await {
-                Ok(item) => {
-                    self.view.note_store(began_at);
-                    self.see(Some(&item));
-                    item.revision
-                }
-                Err(StoreFault::Missing) => {
-                    self.view.note_store(began_at);
-                    self.see(None);
-                    0
-                }
-                Err(_) => {
-                    sleep(FAULT_PAUSE).await;
-                    continue;
-                }
+            let call = ListCall {
+                prefix: OWNER_KEY.to_owned(),
+                after: None,
+            };
+            let Ok(page) = (self.ports.store.list)(call).await else {
+                sleep(FAULT_PAUSE).await;
+                continue;
             };
-            self.watch_changes(revision).await;
+            self.view.note_store(began_at);
+            self.see(page.items.iter().find(|item| item.key == OWNER_KEY));
+            let mut revision = page.revision;
+            for _ in 0..WATCHES_PER_READING {
+                let Some(seen) = self.watch_changes(revision).await else {
+                    break;
+                };
+                revision = seen;
+            }
         }
     }
 
-    async fn watch_changes(&self, revision: u64) {
+    /// Waits for a change after a revision; returns the revision from which to go on.
+    async fn watch_changes(&self, revision: u64) -> Option<u64> {
+        let began_at = now_ms();
         let call = WatchCall {
             prefix: OWNER_KEY.to_owned(),
             after: revision,
@@ -84,11 +89,17 @@
         };
         match (self.ports.store.watch)(call).await {
             Ok(answer) => {
+                self.view.note_store(began_at);
                 if let Some(item) = answer.items.last() {
                     self.see((!item.deleted).then_some(item));
                 }
+                Some(answer.revision)
+            }
+            Err(StoreFault::HistoryGone) => None,
+            Err(_) => {
+                sleep(FAULT_PAUSE).await;
+                None
             }
-            Err(_) => sleep(FAULT_PAUSE).await,
         }
     }
 
@@ -128,6 +139,7 @@
                 can_ask: !self.view.is_stopping(),
                 processor_milli: self.processor_milli,
             };
+            let sent_at = now_ms();
             let reply = if owner.host == self.host {
                 Ok(self.control.hello(call).await)
             } else {
@@ -145,6 +157,10 @@
                 contact.failures = 0;
                 contact.store_age_ms = reply.store_age_ms;
                 self.view.set_peers(reply.peers);
+                if let Some(config) = reply.config {
+                    let read_at = sent_at.saturating_sub(config.age_ms);
+                    self.view.confirm_config(config.digest, read_at);
+                }
                 if reply.epoch == Some(owner.epoch) {
                     self.view.set_waiting(reply.waiting);
                 }
--- a/crates/host/src/peer/fleet_peer.rs
+++ b/crates/host/src/peer/fleet_peer.rs
@@ -30,6 +30,15 @@
     pub processor_milli: u32,
 }
 
+/// A host's last linearizable reading of what the operator approved.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigSight {
+    /// Digest of what was read.
+    pub digest: u64,
+    /// Time since the reading began, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What the owner answers.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct HelloReply {
@@ -37,6 +46,8 @@
     pub epoch: Option<u64>,
     /// Time since the store answered the host, in milliseconds.
     pub store_age_ms: u64,
+    /// Its last reading of what the operator approved.
+    pub config: Option<ConfigSight>,
     /// Submissions without a started task, by queue.
     pub waiting: HashMap<Arc<str>, u64>,
     /// The hosts that greeted the owner of late.
--- a/crates/host/src/peer/mod.rs
+++ b/crates/host/src/peer/mod.rs
@@ -5,8 +5,8 @@
 mod peer_server;
 
 pub use fleet_peer::{
-    FleetPeer, FleetPeerClient, HelloCall, HelloReply, NewSubmission, PeerAdvice, PeerRef,
-    PeerState,
+    ConfigSight, FleetPeer, FleetPeerClient, HelloCall, HelloReply, NewSubmission, PeerAdvice,
+    PeerRef, PeerState,
 };
 pub use peer_links::{PeerFault, PeerLinks};
 pub use peer_server::PeerServer;
--- a/crates/host/src/ports/store_port.rs
+++ b/crates/host/src/ports/store_port.rs
@@ -117,6 +117,8 @@
 pub struct StorePort {
     /// Reads one item.
     pub read: Port<String, Result<StoreItem, StoreFault>>,
+    /// Asks for any answer, however old; shows that the store can be reached.
+    pub ping: Port<(), Result<(), StoreFault>>,
     /// Reads a page of items.
     pub list: Port<ListCall, Result<ListPage, StoreFault>>,
     /// Waits for changes.
--- a/crates/host/tests/host/fake_store.rs
+++ b/crates/host/tests/host/fake_store.rs
@@ -82,6 +82,7 @@
         let (read, list, write) = (self.clone(), self.clone(), self.clone());
         StorePort {
             read: port(move |key: String| std::future::ready(read.read(&key))),
+            ping: port(|()| std::future::ready(Ok(()))),
             list: port(move |call| std::future::ready(Ok(list.list(&call)))),
             watch: port(|_: WatchCall| {
                 std::future::ready(Err::<WatchAnswer, _>(StoreFault::NotDone))
