--- a/crates/fleet/src/owner/cancellation.rs
+++ b/crates/fleet/src/owner/cancellation.rs
@@ -39,27 +39,43 @@
             step: 0,
             index: 0,
         };
-        for entry in self.upstreams.values_mut() {
+        let mut planned = Vec::new();
+        for (upstream, entry) in &mut self.upstreams {
             let runs = entry.runs.range_mut(first.clone()..);
-            for (_, run) in runs.take_while(|(name, _)| name.submission == *id) {
+            for (name, run) in runs.take_while(|(name, _)| name.submission == *id) {
+                if run.phase == RunPhase::Planned {
+                    planned.push((upstream.clone(), name.clone()));
+                    continue;
+                }
                 entry.stops_pending = true;
                 run.phase = RunPhase::Stopping;
                 run.stop_due_at = now;
             }
         }
+        for (upstream, name) in planned {
+            self.release(now, &upstream, &name);
+        }
     }
 
-    /// Stops one run.
+    /// Stops one run; of a planned one nothing was sent.
     pub(super) fn stop_run(&mut self, now: u64, upstream: &Arc<str>, name: &TaskName) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
-        if let Some(run) = entry.runs.get_mut(name)
-            && run.phase != RunPhase::Stopping
-        {
-            run.phase = RunPhase::Stopping;
-            run.stop_due_at = now;
-            entry.stops_pending = true;
+        let Some(run) = entry.runs.get_mut(name) else {
+            return;
+        };
+        match run.phase {
+            RunPhase::Stopping => {}
+            RunPhase::Planned => {
+                self.release(now, upstream, name);
+                self.note_change(&name.submission, false);
+            }
+            _ => {
+                run.phase = RunPhase::Stopping;
+                run.stop_due_at = now;
+                entry.stops_pending = true;
+            }
         }
     }
 }
--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -53,6 +53,17 @@
     Unknown,
 }
 
+/// What waits for a submission's commit.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum CommitUrgency {
+    /// Its caller waits for its final state.
+    Final,
+    /// Planned runs wait to be started.
+    Planned,
+    /// Nothing waits.
+    Other,
+}
+
 /// Submissions whose progress is not stored yet.
 ///
 /// Each change carries a mark; marks grow. An end may be acknowledged to its upstream once every
@@ -97,25 +108,28 @@
         self.queue.is_empty()
     }
 
-    /// Takes the submissions of the next commit, as many as its entries allow: first those with a
-    /// final state, which callers wait for.
+    /// Takes the submissions of the next commit, as many as its entries allow, the most urgent first.
     pub fn take(
         &mut self,
-        is_final: impl Fn(&Arc<str>) -> bool,
+        urgency_of: impl Fn(&Arc<str>) -> CommitUrgency,
         entries_of: impl Fn(&Arc<str>) -> usize,
     ) -> Vec<Arc<str>> {
         let mut left = MAX_ENTRIES;
         let mut marks = Vec::new();
-        for wanted in [true, false] {
-            for (mark, id) in &self.queue {
-                if left == 0 {
-                    break;
-                }
-                let entries = entries_of(id);
-                if is_final(id) == wanted && entries <= left {
-                    left -= entries;
-                    marks.push(*mark);
-                }
+        let mut order: Vec<_> = self
+            .queue
+            .iter()
+            .map(|(mark, id)| (urgency_of(id), *mark, id))
+            .collect();
+        order.sort_unstable();
+        for (_, mark, id) in order {
+            let entries = entries_of(id);
+            if entries <= left {
+                left -= entries;
+                marks.push(mark);
+            }
+            if left == 0 {
+                break;
             }
         }
         self.is_sent = true;
@@ -125,7 +139,7 @@
                 self.in_flight.insert(mark, id);
             }
         }
-        self.urgent = self.queue.values().any(is_final);
+        self.urgent = !self.queue.is_empty();
         self.in_flight.values().cloned().collect()
     }
 
--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -9,7 +9,6 @@
 
 use crate::model::ResourceSize;
 use crate::owner::OwnerMachine;
-use crate::owner::team_room::TeamRoom;
 
 /// Number of an upstream during this owner's life; never used for another upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -58,7 +57,7 @@
     /// Place of each slot in its pool's view.
     places: Vec<Option<u32>>,
     /// Teams' room, of the teams that were looked at.
-    pub team_rooms: HashMap<Arc<str>, TeamRoom>,
+    pub team_rooms: HashMap<Arc<str>, ResourceSize>,
     /// Searches for runs that give way which the pass may still make.
     pub searches_left: u32,
 }
@@ -104,22 +103,20 @@
         view
     }
 
-    /// Returns what a team may still start, as of this pass; `unit` is what starts together.
+    /// Returns what a team may still start, as of this pass.
     pub(super) fn team_room_in(
         &self,
-        now: u64,
         team: Option<&Arc<str>>,
-        unit: &ResourceSize,
         view: &mut FleetView,
     ) -> ResourceSize {
         let Some(team) = team else {
-            return self.team_room(now, None).for_unit(unit);
+            return self.team_room(None);
         };
         if let Some(room) = view.team_rooms.get(team) {
-            return room.for_unit(unit);
+            return *room;
         }
-        let room = self.team_room(now, Some(team));
+        let room = self.team_room(Some(team));
         view.team_rooms.insert(team.clone(), room);
-        room.for_unit(unit)
+        room
     }
 }
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -52,7 +52,6 @@
         entry.answered_at = now;
         let first = entry.inventoried.is_none();
         entry.inventoried = Some(answer.born_unix_ms);
-        entry.runs_known = true;
         let ended_any = self.take_ends(now, upstream, &answer.ended);
         self.take_runs(now, sent_at, upstream, &answer.running);
         self.stop_standing(now, upstream);
@@ -397,6 +396,12 @@
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return false;
         };
+        // A run that was not ordered yet can't be the one that is listed.
+        let planned = entry.runs.get(name).map(|run| run.phase);
+        if planned == Some(RunPhase::Planned) {
+            self.release(now, upstream, name);
+            return self.adopt_run(now, upstream, name, report);
+        }
         if let Some(run) = entry.runs.get_mut(name) {
             run.attempt = run.attempt.max(report.attempt);
             if run.percent != report.percent || run.percent_since == 0 {
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod owner_machine;
 mod owner_settings;
 mod placement;
+mod planned_start;
 mod preemption;
 mod question;
 mod ready_list;
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -12,7 +12,7 @@
 use crate::owner::fleet_view::UpstreamSlot;
 use crate::owner::ready_list::ReadyList;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
-use crate::owner::upstream_entry::{RunEntry, UpstreamEntry};
+use crate::owner::upstream_entry::{RunEntry, RunPhase, UpstreamEntry};
 use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry};
 
 /// Part of an upstream's slowness that is forgotten with each of its reports.
@@ -62,17 +62,8 @@
     pub(super) placement_wanted: bool,
     pub(super) next_placement_at: u64,
     pub(super) deposed: bool,
-    /// Newest revision at which this owner is known to have owned the fleet.
-    pub(super) proven_revision: u64,
-    /// Whether a submission waits for a newer proof.
-    pub(super) proof_wanted: bool,
     /// Time of day at the last tick, in milliseconds since 1970.
     pub(super) unix_ms: u64,
-    /// What each team has running by the journal; equals the sum over the submissions' journaled
-    /// runs.
-    pub(super) journaled: HashMap<Arc<str>, ResourceSize>,
-    /// Whether the store has not answered the host of late: a successor may be at work elsewhere.
-    pub(super) unconfirmed: bool,
     /// Mean slowness of all upstreams' runs; 0 before the first.
     pub(super) mean_slowness: f64,
 }
@@ -113,11 +104,7 @@
             placement_wanted: true,
             next_placement_at: 0,
             deposed: false,
-            proven_revision: epoch,
-            proof_wanted: false,
             unix_ms: 0,
-            journaled: HashMap::new(),
-            unconfirmed: false,
             mean_slowness: 0.0,
         }
     }
@@ -198,28 +185,14 @@
     }
 
     /// Takes a submission that is stored; `created` is the revision of its record.
-    ///
-    /// `proven` says that this owner owned the fleet at that revision. Otherwise nothing of it
-    /// starts before a commit has proved it: a successor takes younger submissions than its epoch
-    /// for submissions that no earlier owner can have started.
-    pub fn add_submission(
-        &mut self,
-        now: u64,
-        record: Arc<SubmissionRecord>,
-        created: u64,
-        proven: bool,
-    ) {
-        if proven {
-            self.proven_revision = self.proven_revision.max(created);
-        }
+    pub fn add_submission(&mut self, now: u64, record: Arc<SubmissionRecord>, created: u64) {
         // One that was there at the take-over and was not read then had ended.
         if self.submissions.contains_key(&record.id) || created <= self.known_revision {
             return;
         }
         let id = record.id.clone();
         self.submissions
-            .insert(id.clone(), SubmissionEntry::new(record, created, now));
-        self.proof_wanted |= created > self.proven_revision;
+            .insert(id.clone(), SubmissionEntry::new(record, now));
         self.ready.note(&id);
         self.active.insert(id);
         self.placement_wanted = true;
@@ -309,6 +282,7 @@
         if let Some(team) = &run.team {
             *self.team_usage.entry(team.clone()).or_default() += run.demand;
         }
+        let planned = run.phase == RunPhase::Planned;
         if entry.runs.insert(name.clone(), run).is_some() {
             return;
         }
@@ -317,6 +291,7 @@
         }
         if let Some(submission) = self.submissions.get_mut(&name.submission) {
             submission.booked_runs += 1;
+            submission.planned_runs += u32::from(planned);
         }
     }
 
@@ -348,6 +323,8 @@
         }
         if let Some(submission) = self.submissions.get_mut(&name.submission) {
             submission.booked_runs = submission.booked_runs.saturating_sub(1);
+            let planned = u32::from(run.phase == RunPhase::Planned);
+            submission.planned_runs = submission.planned_runs.saturating_sub(planned);
         }
         self.ready.note(&name.submission);
         self.placement_wanted = true;
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -23,8 +23,6 @@
     pub keep_final_ms: u64,
     /// Time between two reports of an upstream, in milliseconds.
     pub report_interval_ms: u64,
-    /// Age of the store's last answer up to which no successor can be at work, in milliseconds.
-    pub confirmed_age_ms: u64,
     /// Margin after an occurrence's due time, in milliseconds; hosts' clocks differ.
     pub due_margin_ms: u64,
 }
@@ -42,7 +40,6 @@
             stop_retry_ms: 400,
             keep_final_ms: 150_000,
             report_interval_ms: 1500,
-            confirmed_age_ms: 1100,
             due_margin_ms: 30,
         }
     }
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -172,7 +172,7 @@
         view: &mut FleetView,
     ) -> Vec<TaskChoice> {
         let demand = call.spec().demand;
-        let team_room = self.team_room_in(now, call.team(), &call.unit(), view);
+        let team_room = self.team_room_in(call.team(), view);
         let allowed = usize::try_from(team_room.count(&demand)).unwrap_or(usize::MAX);
         let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
         else {
--- /dev/null
+++ b/crates/fleet/src/owner/planned_start.rs
@@ -0,0 +1,149 @@
+//! Starts of planned runs once the journal names them.
+//!
+//! An order is sent only after the commit that names its run is stored. So the journal names every
+//! run that any upstream may have, and a successor starts everything else at once. Nothing is
+//! started while the store does not answer.
+
+use std::sync::Arc;
+
+use crate::model::{ProgressRecord, TaskName};
+use crate::owner::submission_entry::{StepEntry, SubmissionEntry};
+use crate::owner::upstream_entry::RunPhase;
+use crate::owner::{OwnerEffect, OwnerMachine, StartOrder};
+
+/// A run that is planned and journaled.
+#[derive(Debug)]
+struct PlannedRun {
+    name: TaskName,
+    upstream: Arc<str>,
+}
+
+impl OwnerMachine {
+    /// Starts the planned runs that a stored record names; those that can't be started any more are
+    /// given up, of a gang all.
+    pub(super) fn send_planned(&mut self, now: u64, id: &Arc<str>, progress: &ProgressRecord) {
+        let planned = self.planned_runs(id, progress);
+        let mut given_up = Vec::new();
+        for run in &planned {
+            if !self.can_start(now, run) {
+                given_up.push((run.name.occurrence, run.name.step));
+            }
+        }
+        for run in planned {
+            let gang_broken =
+                self.is_gang(&run.name) && given_up.contains(&(run.name.occurrence, run.name.step));
+            if gang_broken || !self.can_start(now, &run) {
+                self.release(now, &run.upstream, &run.name);
+                self.note_change(id, false);
+            } else {
+                self.send_start(now, run);
+            }
+        }
+    }
+
+    /// Lists the runs of a record that are still planned as it says.
+    fn planned_runs(&self, id: &Arc<str>, progress: &ProgressRecord) -> Vec<PlannedRun> {
+        progress
+            .runs
+            .iter()
+            .filter_map(|record| {
+                let name = TaskName {
+                    submission: id.clone(),
+                    occurrence: record.occurrence,
+                    step: record.step,
+                    index: record.index,
+                };
+                let run = self.upstreams.get(&record.upstream)?.runs.get(&name)?;
+                let planned = run.phase == RunPhase::Planned && run.attempt == record.attempt;
+                planned.then(|| PlannedRun {
+                    name,
+                    upstream: record.upstream.clone(),
+                })
+            })
+            .collect()
+    }
+
+    fn is_gang(&self, name: &TaskName) -> bool {
+        let submission = self.submissions.get(&name.submission);
+        let step = submission.and_then(|entry| entry.record.steps.get(name.step as usize));
+        step.is_some_and(|step| step.gang)
+    }
+
+    /// Tells whether the upstream and the ticket of a planned run are still good.
+    fn can_start(&self, now: u64, run: &PlannedRun) -> bool {
+        let Some(entry) = self.upstreams.get(&run.upstream) else {
+            return false;
+        };
+        let submission = self.submissions.get(&run.name.submission);
+        let Some(submission) = submission.filter(|entry| entry.is_active()) else {
+            return false;
+        };
+        let needs_ticket = self.queue_of(&submission.record).policy_desk.is_some();
+        let ticket = step_of(submission, &run.name).and_then(|step| step.tickets.get(&entry.slot));
+        let allowed = !needs_ticket || ticket.is_some_and(|ticket| now < ticket.expires_at);
+        allowed
+            && entry.is_reachable(now, self.settings.contact_age_ms)
+            && !self.evacuated.contains(&entry.report.failure_domain)
+    }
+
+    fn send_start(&mut self, now: u64, run: PlannedRun) {
+        let lease_ms = self.settings.task_lease_ms;
+        let PlannedRun { name, upstream } = run;
+        let Some(submission) = self.submissions.get(&name.submission) else {
+            return;
+        };
+        let record = submission.record.clone();
+        let step = step_of(submission, &name);
+        let checkpoint = step.and_then(|step| checkpoint_of(step, &record, &name));
+        let Some(entry) = self.upstreams.get_mut(&upstream) else {
+            return;
+        };
+        let ticket = step.and_then(|step| step.tickets.get(&entry.slot));
+        let ticket = ticket.map(|ticket| ticket.ticket.clone());
+        let Some(deadline_ms) = entry.grant(now, lease_ms) else {
+            return;
+        };
+        let address = entry.report.address.clone();
+        let Some(entry) = entry.runs.get_mut(&name) else {
+            return;
+        };
+        entry.phase = RunPhase::Starting;
+        entry.ordered_at = now;
+        let attempt = entry.attempt;
+        if let Some(submission) = self.submissions.get_mut(&name.submission) {
+            submission.planned_runs = submission.planned_runs.saturating_sub(1);
+        }
+        self.effects.push(OwnerEffect::Start(StartOrder {
+            task: name,
+            attempt,
+            upstream,
+            address,
+            epoch: self.epoch,
+            deadline_ms,
+            payload: record.payload.clone(),
+            checkpoint,
+            ticket,
+        }));
+    }
+}
+
+fn step_of<'a>(submission: &'a SubmissionEntry, name: &TaskName) -> Option<&'a StepEntry> {
+    let occurrence = submission.occurrences.get(name.occurrence as usize)?;
+    occurrence.steps.get(name.step as usize)
+}
+
+/// Returns the checkpoint from which a task resumes.
+fn checkpoint_of(
+    step: &StepEntry,
+    record: &crate::model::SubmissionRecord,
+    name: &TaskName,
+) -> Option<Arc<str>> {
+    let spec = record.steps.get(name.step as usize)?;
+    if !spec.checkpointing {
+        return None;
+    }
+    if spec.gang {
+        return step.gang_checkpoint.clone();
+    }
+    step.tasks.get(name.index as usize)?.checkpoint.clone()
+}
--- a/crates/fleet/src/owner/preemption.rs
+++ b/crates/fleet/src/owner/preemption.rs
@@ -82,7 +82,7 @@
             step.search_not_before = now + SEARCH_PAUSE_MS;
         }
         let unit = call.unit();
-        let team_room = self.team_room_in(now, call.team(), &unit, view);
+        let team_room = self.team_room_in(call.team(), view);
         if !unit.fits(&team_room) {
             return;
         }
--- a/crates/fleet/src/owner/question.rs
+++ b/crates/fleet/src/owner/question.rs
@@ -67,7 +67,7 @@
             return;
         }
         let unit = call.unit();
-        if !unit.fits(&self.team_room_in(now, call.team(), &unit, view)) {
+        if !unit.fits(&self.team_room_in(call.team(), view)) {
             return;
         }
         let upstreams = self.upstreams_to_ask(now, ready, call, left as u64, desk, view);
--- a/crates/fleet/src/owner/ready_list.rs
+++ b/crates/fleet/src/owner/ready_list.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::model::{QueuePolicy, StepSpec};
+use crate::model::{QueuePolicy, StepSpec, TaskName};
 use crate::owner::OwnerMachine;
 use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
 
@@ -30,8 +30,6 @@
     pub submission: Arc<str>,
     pub occurrence: u32,
     pub step: u32,
-    /// Revision at which the submission was created.
-    pub created: u64,
     pub priority: u32,
     /// When its time began, in the owner's time.
     pub begun_at: u64,
@@ -42,6 +40,16 @@
 }
 
 impl ReadyStep {
+    /// Returns the name of one of the step's tasks.
+    pub fn task_name(&self, index: u32) -> TaskName {
+        TaskName {
+            submission: self.submission.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+
     /// Returns what the step's submission can still reach.
     pub fn standing(&self, now: u64) -> StepStanding {
         let age = now.saturating_sub(self.begun_at);
@@ -144,7 +152,6 @@
                     submission: id.clone(),
                     occurrence: number,
                     step,
-                    created: entry.created,
                     priority: queue.priority,
                     begun_at,
                     objective_ms,
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -1,9 +1,8 @@
 //! Take-over from an earlier owner.
 //!
-//! The store's records say what is done; the upstreams' inventories say what runs. An upstream
-//! that can't be reached may still run tasks of submissions that are older than this owner's
-//! epoch. Such tasks wait until every lease of earlier owners has run out. Of an upstream that was
-//! silent already, the journal names all runs, so that only these wait.
+//! The store's records say what is done, and name every run before it starts; the upstreams'
+//! inventories say what runs. Runs at an upstream that can't be reached stay booked until every
+//! lease of earlier owners has run out there; all other tasks go on at once.
 
 use std::sync::Arc;
 
@@ -12,7 +11,6 @@
 use crate::model::{ProgressRecord, ResourceSize, SubmissionRecord, TaskName, UpstreamReport};
 use crate::owner::OwnerMachine;
 use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
-use crate::owner::team_room::journaled_runs;
 use crate::owner::upstream_entry::{RunEntry, RunPhase, Silence, UpstreamEntry};
 
 /// Largest difference between two hosts' times of day that is allowed for, in milliseconds.
@@ -35,9 +33,6 @@
     /// there while this is set.
     #[serde(default)]
     pub lapses_unix_ms: Option<u64>,
-    /// Whether the journal names all of its runs, while it is silent.
-    #[serde(default)]
-    pub runs_known: bool,
 }
 
 /// A submission as the store holds it.
@@ -45,8 +40,6 @@
 pub struct StoredSubmission {
     /// The submission.
     pub record: Arc<SubmissionRecord>,
-    /// Revision at which the record was created.
-    pub created: u64,
     /// Its progress, if any was written.
     pub progress: Option<ProgressRecord>,
     /// Whether its caller cancelled it.
@@ -112,14 +105,13 @@
             entry.lapse_at = entry.lapse_at.min(now + remaining);
             entry.silence = Silence::Journaled;
         }
-        entry.runs_known = member.runs_known;
         self.upstreams.insert(id.clone(), entry);
         self.unseen.insert(id, member);
     }
 
     fn restore_submission(&mut self, now: u64, stored: StoredSubmission) {
         let id = stored.record.id.clone();
-        let mut entry = SubmissionEntry::new(stored.record, stored.created, now);
+        let mut entry = SubmissionEntry::new(stored.record, now);
         entry.stored_at = now;
         let progress = stored.progress.unwrap_or_default();
         entry.restore(&progress);
@@ -130,9 +122,6 @@
         }
         self.active.insert(id.clone());
         self.ready.note(&id);
-        let record = &self.submissions[&id].record;
-        let journaled = journaled_runs(record, &progress);
-        self.set_journaled(&id, journaled);
         for run in progress.runs {
             let name = TaskName {
                 submission: id.clone(),
@@ -195,14 +184,4 @@
             percent_since: now,
         })
     }
-
-    /// Tells whether tasks of a submission have to wait for leases of earlier owners.
-    pub(super) fn waits_for_leases(&self, now: u64, created: u64, pool: &str) -> bool {
-        created < self.epoch
-            && now < self.recovery_until
-            && self
-                .unseen
-                .values()
-                .any(|member| &*member.pool == pool && !member.runs_known)
-    }
 }
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -4,16 +4,15 @@
 //! upstreams and lasting tasks. What can be in time goes before what is late; then priority and
 //! objective decide. A gang or lasting step without room holds the room that it waits for against
 //! the steps after it.
+//!
+//! A task is booked first, then journaled, and started after that (`planned_start.rs`).
 
-use std::sync::Arc;
-
-use crate::model::TaskName;
+use crate::owner::OwnerMachine;
 use crate::owner::fleet_view::FleetView;
 use crate::owner::placement::StepCall;
 use crate::owner::ready_list::ReadyStep;
 use crate::owner::submission_entry::{StepEntry, TaskPhase};
 use crate::owner::upstream_entry::RunPhase;
-use crate::owner::{OwnerEffect, OwnerMachine, StartOrder};
 
 /// Attempts of one generation of owners; the next one begins above.
 const ATTEMPTS_PER_GENERATION: u32 = 1000;
@@ -27,11 +26,6 @@
         }
         let mut view = self.fleet_view(now);
         for step in ready {
-            if step.created > self.proven_revision
-                || self.waits_for_leases(now, step.created, &step.queue.pool)
-            {
-                continue;
-            }
             self.place_step(now, &step, &mut view);
         }
     }
@@ -49,19 +43,12 @@
         let choices = self.choose_upstreams(now, ready, &call, view);
         let left = call.waiting.len() - choices.len();
         for (index, place) in choices {
-            self.start_task(now, ready, index, place, &call, view);
+            self.plan_task(now, ready, index, place, &call, view);
         }
         if left == 0 {
             self.forget_unless_waiting(ready);
             return;
         }
-        if let Some(team) = call.team()
-            && let Some(room) = view.team_rooms.get_mut(team)
-            && room.waits_for_journal(&call.unit())
-            && !std::mem::replace(&mut room.is_noted, true)
-        {
-            self.journal_team(team);
-        }
         if call.needs_ticket {
             self.ask_for_step(now, ready, &call, left, view);
         }
@@ -82,7 +69,8 @@
         }
     }
 
-    fn start_task(
+    /// Books a task at an upstream; it is started once the journal names it.
+    fn plan_task(
         &mut self,
         now: u64,
         ready: &ReadyStep,
@@ -91,34 +79,15 @@
         call: &StepCall,
         view: &mut FleetView,
     ) {
-        let Some(slot) = view
-            .pools
-            .get_mut(&ready.queue.pool)
-            .and_then(|pool| pool.slots.get_mut(place))
-        else {
+        let pool = view.pools.get_mut(&ready.queue.pool);
+        let Some(slot) = pool.and_then(|pool| pool.slots.get_mut(place)) else {
             return;
         };
         let upstream = slot.id.clone();
-        let name = TaskName {
-            submission: ready.submission.clone(),
-            occurrence: ready.occurrence,
-            step: ready.step,
-            index,
-        };
-        let lease_ms = self.settings.task_lease_ms;
-        let Some(entry) = self.upstreams.get_mut(&upstream) else {
-            return;
-        };
-        let Some(deadline_ms) = entry.grant(now, lease_ms) else {
-            return;
-        };
-        let address = entry.report.address.clone();
+        let name = ready.task_name(index);
         let Some(step) = self.step_of(ready) else {
             return;
         };
-        let checkpoint = checkpoint_of(step, call, index);
-        let ticket = step.tickets.get(&slot.slot);
-        let ticket = ticket.map(|entry| entry.ticket.clone());
         let last = step
             .tasks
             .get(index as usize)
@@ -126,31 +95,20 @@
         let attempt = call
             .gang_attempt
             .unwrap_or_else(|| self.attempt_after(last));
-        let Some(run) = self.make_run(&name, attempt, RunPhase::Starting, now) else {
+        let Some(run) = self.make_run(&name, attempt, RunPhase::Planned, now) else {
             return;
         };
         slot.free = slot.free.saturating_sub(&run.booking);
         if let Some(room) = call.team().and_then(|team| view.team_rooms.get_mut(team)) {
-            room.take(&run.demand);
+            *room = room.saturating_sub(&run.demand);
         }
         self.book(&upstream, &name, run);
         if let Some(task) = self.task_mut(&name) {
             task.phase = TaskPhase::Placed;
             task.attempt = attempt;
-            task.upstream = Some(upstream.clone());
+            task.upstream = Some(upstream);
         }
-        self.note_change(&ready.submission, false);
-        self.effects.push(OwnerEffect::Start(StartOrder {
-            task: name,
-            attempt,
-            upstream,
-            address,
-            epoch: self.epoch,
-            deadline_ms,
-            payload: call.record.payload.clone(),
-            checkpoint,
-            ticket,
-        }));
+        self.note_change(&ready.submission, true);
     }
 
     /// Returns the attempt after one of a task; each generation of owners has its own range.
@@ -158,14 +116,3 @@
         last.max(self.generation * ATTEMPTS_PER_GENERATION) + 1
     }
 }
-
-/// Returns the checkpoint from which a task resumes.
-fn checkpoint_of(step: &StepEntry, call: &StepCall, index: u32) -> Option<Arc<str>> {
-    if !call.spec().checkpointing {
-        return None;
-    }
-    if call.spec().gang {
-        return step.gang_checkpoint.clone();
-    }
-    step.tasks.get(index as usize)?.checkpoint.clone()
-}
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -5,7 +5,6 @@
 
 use crate::model::{ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState};
 use crate::owner::fleet_view::UpstreamSlot;
-use crate::owner::team_room::JournaledRun;
 
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -91,8 +90,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct SubmissionEntry {
     pub record: Arc<SubmissionRecord>,
-    /// Revision at which the record was created.
-    pub created: u64,
     /// When the owner heard of it.
     pub known_at: u64,
     pub occurrences: Vec<OccurrenceEntry>,
@@ -103,14 +100,14 @@
     pub stored_at: u64,
     /// Runs that are booked at all upstreams.
     pub booked_runs: u32,
-    /// Runs that the journal names.
-    pub journaled_runs: Vec<JournaledRun>,
+    /// Those of them that wait for the journal.
+    pub planned_runs: u32,
     /// Whether its end is all that the store keeps.
     pub moved: bool,
 }
 
 impl SubmissionEntry {
-    pub fn new(record: Arc<SubmissionRecord>, created: u64, now: u64) -> Self {
+    pub fn new(record: Arc<SubmissionRecord>, now: u64) -> Self {
         let occurrences = (0..record.occurrence_count())
             .map(|number| OccurrenceEntry {
                 due_unix_ms: record.due_unix_ms(number),
@@ -126,14 +123,13 @@
             .collect();
         Self {
             record,
-            created,
             known_at: now,
             occurrences,
             state: SubmissionState::Queued,
             stored: false,
             stored_at: 0,
             booked_runs: 0,
-            journaled_runs: Vec::new(),
+            planned_runs: 0,
             moved: false,
         }
     }
--- a/crates/fleet/src/owner/upkeep.rs
+++ b/crates/fleet/src/owner/upkeep.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use crate::model::{ResourceSize, TaskName};
-use crate::owner::commit_queue::{ENDED_ENTRIES, MAX_ENTRIES, PROGRESS_ENTRIES};
-use crate::owner::team_room::journaled_runs;
+use crate::owner::commit_queue::{CommitUrgency, ENDED_ENTRIES, MAX_ENTRIES, PROGRESS_ENTRIES};
 use crate::owner::upstream_entry::{RunPhase, Silence};
 use crate::owner::{
     CommitBatch, CommitOutcome, EndedSubmission, HoldOrder, OwnerEffect, OwnerMachine, RosterEntry,
@@ -29,13 +28,12 @@
     /// Does what is due: lapses, renewals, stops, starts, questions and commits.
     ///
     /// `may_act` is false while the host can't be sure that it still owns the fleet: then
-    /// nothing is started or renewed. `store_age_ms` is the time since the store answered the host.
-    pub fn tick(&mut self, now: u64, unix_ms: u64, may_act: bool, store_age_ms: u64) {
+    /// nothing is started or renewed.
+    pub fn tick(&mut self, now: u64, unix_ms: u64, may_act: bool) {
         if self.deposed {
             return;
         }
         self.unix_ms = unix_ms;
-        self.unconfirmed = store_age_ms > self.settings.confirmed_age_ms;
         self.lapse_silent(now);
         self.note_silence(now);
         if may_act {
@@ -106,7 +104,7 @@
         for (id, entry) in &mut self.upstreams {
             let heard_at = entry.answered_at.max(self.recovered_at);
             let silent = now.saturating_sub(heard_at) > SILENT_MS && entry.lapse_at > now;
-            let holds_leases = !entry.runs.is_empty() || !entry.runs_known;
+            let holds_leases = !entry.runs.is_empty();
             match entry.silence {
                 Silence::None if silent && holds_leases => {
                     let runs = entry.runs.keys().map(|name| name.submission.clone());
@@ -246,21 +244,20 @@
 
     fn commit(&mut self, now: u64) {
         let due = self.commits.urgent
-            || self.proof_wanted
             || now >= self.commits.last_sent_at + self.settings.commit_spacing_ms;
         let anything = !self.commits.is_empty()
             || !self.forgotten.is_empty()
             || !self.stray_cancels.is_empty()
-            || self.roster_changed
-            || self.proof_wanted;
+            || self.roster_changed;
         if !anything || !self.commits.is_idle() || self.roster_in_flight || !due {
             return;
         }
         let submissions = &self.submissions;
         let ids = self.commits.take(
-            |id| {
-                let entry = submissions.get(id);
-                entry.is_some_and(|entry| entry.state.is_final())
+            |id| match submissions.get(id) {
+                Some(entry) if entry.state.is_final() => CommitUrgency::Final,
+                Some(entry) if entry.planned_runs > 0 => CommitUrgency::Planned,
+                _ => CommitUrgency::Other,
             },
             |id| match submissions.get(id) {
                 Some(entry) if entry.is_over() => ENDED_ENTRIES,
@@ -294,7 +291,6 @@
         batch.roster = self.roster_changed.then(|| self.roster(now));
         self.roster_in_flight = self.roster_changed;
         self.roster_changed = false;
-        self.proof_wanted = false;
         self.effects.push(OwnerEffect::Commit(batch));
     }
 
@@ -307,50 +303,34 @@
                 address: entry.report.address.clone(),
                 failure_domain: entry.report.failure_domain.clone(),
                 born_unix_ms: entry.report.born_unix_ms,
-                runs_known: entry.silence == Silence::Journaled && entry.runs_known,
                 lapses_unix_ms: (entry.silence == Silence::Journaled)
                     .then(|| self.unix_ms + entry.lapse_at.saturating_sub(now)),
             })
             .collect()
     }
 
-    /// Takes the outcome of a commit, with its revision if it is stored.
-    pub fn on_commit(
-        &mut self,
-        now: u64,
-        batch: &CommitBatch,
-        outcome: CommitOutcome,
-        revision: u64,
-    ) {
+    /// Takes the outcome of a commit.
+    pub fn on_commit(&mut self, now: u64, batch: &CommitBatch, outcome: CommitOutcome) {
         let stored = outcome == CommitOutcome::Stored;
         let ids = self.commits.finish(stored);
         let with_roster = std::mem::take(&mut self.roster_in_flight);
         match outcome {
             CommitOutcome::Fenced => self.depose(),
             CommitOutcome::Unknown => {
-                for (id, progress) in &batch.progress {
-                    self.doubt_journaled(id, progress);
-                }
                 self.forgotten.extend(batch.forgotten.iter().cloned());
                 let strays = batch.stray_cancels.iter().cloned();
                 self.stray_cancels.extend(strays);
                 self.roster_changed |= with_roster;
-                self.proof_wanted = true;
             }
             CommitOutcome::Stored => {
-                self.proven_revision = self.proven_revision.max(revision);
                 self.placement_wanted = true;
                 for id in ids {
                     self.note_stored(now, &id, batch);
                 }
                 for (id, progress) in &batch.progress {
-                    let record = self.submissions.get(id).map(|entry| entry.record.clone());
-                    if let Some(record) = record {
-                        self.set_journaled(id, journaled_runs(&record, progress));
-                    }
+                    self.send_planned(now, id, progress);
                 }
                 for ended in &batch.ended {
-                    self.set_journaled(&ended.id, Vec::new());
                     self.note_moved(now, &ended.id);
                 }
                 for member in batch.roster.iter().flatten() {
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -15,6 +15,8 @@
 /// Phase of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
+    /// The journal does not name it yet, and nothing was sent.
+    Planned,
     /// The order to start is on its way.
     Starting,
     /// The upstream has confirmed it, or lists it.
@@ -98,8 +100,6 @@
     pub refreshed_at: u64,
     /// Whether it is silent; nothing is started there unless this is `None`.
     pub silence: Silence,
-    /// Whether all of its runs are known; false from a take-over until its inventory.
-    pub runs_known: bool,
     /// Whether the stored roster names it; nothing is granted before.
     pub enrolled: bool,
     /// Incarnation whose inventory was taken in this epoch.
@@ -139,7 +139,6 @@
             listed: true,
             refreshed_at: 0,
             silence: Silence::None,
-            runs_known: true,
             enrolled: false,
             inventoried: None,
             clock: None,
@@ -189,16 +188,22 @@
 
     /// Tells whether tasks may be started there now.
     pub fn is_usable(&self, now: u64, contact_age_ms: u64) -> bool {
+        self.is_reachable(now, contact_age_ms)
+            && self.strangers == 0
+            && now >= self.backoff_until
+            && now >= self.probation_until
+            && (self.probation_rounds == 0 || self.runs.is_empty())
+    }
+
+    /// Tells whether it takes orders as far as is known: nothing speaks against those that were
+    /// decided already.
+    pub fn is_reachable(&self, now: u64, contact_age_ms: u64) -> bool {
         self.listed
             && self.enrolled
             && self.silence == Silence::None
             && !self.report.draining
-            && self.strangers == 0
             && self.inventoried == Some(self.report.born_unix_ms)
             && now.saturating_sub(self.answered_at) <= contact_age_ms
-            && now >= self.backoff_until
-            && (now >= self.probation_until)
-            && (self.probation_rounds == 0 || self.runs.is_empty())
     }
 
     /// Tells whether one of the runs is urgent.
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -115,8 +115,7 @@
         }
         ownership.suspended = !may_act;
         ownership.machine.set_hosts(&helpers);
-        let store_age_ms = self.view.store_age_ms();
-        ownership.machine.tick(now, unix, may_act, store_age_ms);
+        ownership.machine.tick(now, unix, may_act);
         let valid_until = ownership.valid_until;
         let epoch = ownership.machine.epoch();
         for effect in ownership.machine.take_effects() {
@@ -207,8 +206,8 @@
             }
             ControlInput::Directory(reports) => machine.set_directory(now, reports),
             ControlInput::Submissions(records) => {
-                for (record, created, proven) in records {
-                    machine.add_submission(now, record, created, proven == Some(epoch));
+                for (record, created) in records {
+                    machine.add_submission(now, record, created);
                 }
             }
             ControlInput::Cancels(ids) => {
@@ -250,8 +249,8 @@
             ControlInput::AskDone(asked, ask, outcome) if asked == epoch => {
                 machine.on_advice(now, ask, &outcome);
             }
-            ControlInput::CommitDone(written, batch, outcome, revision) if written == epoch => {
-                machine.on_commit(now, &batch, outcome, revision);
+            ControlInput::CommitDone(written, batch, outcome) if written == epoch => {
+                machine.on_commit(now, &batch, outcome);
                 if outcome == CommitOutcome::Stored {
                     note_finals(&batch);
                 }
--- a/crates/host/src/control/control_link.rs
+++ b/crates/host/src/control/control_link.rs
@@ -64,11 +64,7 @@
         for submission in submissions {
             match serde_json::from_slice(&submission.record) {
                 Ok(record) => {
-                    records.push((
-                        Arc::new(record),
-                        submission.created,
-                        submission.proven_epoch,
-                    ));
+                    records.push((Arc::new(record), submission.created));
                 }
                 Err(error) => {
                     log::error!(target: "lagoonnotch", "a peer's submission can't be read: {error}");
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -23,9 +23,8 @@
     pub valid_until: u64,
 }
 
-/// A stored submission, the revision of its creation, and the epoch that owned the fleet then, if
-/// the write proved it.
-pub type TakenSubmission = (Arc<SubmissionRecord>, u64, Option<u64>);
+/// A stored submission, and the revision of its creation.
+pub type TakenSubmission = (Arc<SubmissionRecord>, u64);
 
 /// An input of the control actor.
 #[derive(Debug)]
@@ -66,8 +65,8 @@
     StopDone(StopOrder, StopOutcome),
     /// A question ended.
     AskDone(u64, u64, AdviceOutcome),
-    /// A commit ended, at this revision if it is stored.
-    CommitDone(u64, CommitBatch, CommitOutcome, u64),
+    /// A commit ended.
+    CommitDone(u64, CommitBatch, CommitOutcome),
 }
 
 /// Lets the actor do what is due.
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -202,7 +202,7 @@
     }
 
     async fn commit(&self, epoch: u64, batch: CommitBatch) {
-        let (outcome, revision) = self.commits.write(epoch, &batch).await;
+        let outcome = self.commits.write(epoch, &batch).await;
         self.metrics.count_commit(match outcome {
             CommitOutcome::Stored => "stored",
             CommitOutcome::Fenced => "fenced",
@@ -217,7 +217,7 @@
             tokio::time::sleep(COMMIT_PAUSE).await;
         }
         self.control
-            .input(ControlInput::CommitDone(epoch, batch, outcome, revision))
+            .input(ControlInput::CommitDone(epoch, batch, outcome))
             .await;
     }
 }
--- a/crates/host/src/entry/entry_desk.rs
+++ b/crates/host/src/entry/entry_desk.rs
@@ -35,9 +35,6 @@
 /// Age of the owner's counts up to which they are told, in milliseconds.
 const COUNT_AGE_MS: u64 = 1900;
 
-/// Writes of a submission while the owner changes.
-const CREATE_TRIES: u32 = 4;
-
 /// Longest identifier of a submission, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
@@ -177,7 +174,7 @@
             return EntryAnswer::Invalid("body: can't be stored".to_owned());
         };
         let began_at = now_ms();
-        let (stored, proven_epoch) = self.create(&id, &bytes).await;
+        let stored = self.store.create(&id, bytes.clone().into()).await;
         match stored {
             StoreAnswer::Stored(created) => {
                 FleetEvent::SubmissionAccepted.emit(json!({
@@ -191,34 +188,15 @@
                 self.outbox.submitted(NewSubmission {
                     record: bytes,
                     created,
-                    proven_epoch,
                 });
                 EntryAnswer::Accepted
             }
             StoreAnswer::Present(_) => EntryAnswer::Accepted,
-            StoreAnswer::NotStored | StoreAnswer::OtherOwner(_) => refused(RefusalReason::NoStore),
+            StoreAnswer::NotStored | StoreAnswer::Ended => refused(RefusalReason::NoStore),
             StoreAnswer::Unsettled => EntryAnswer::Unsettled,
         }
     }
 
-    /// Stores a submission with the proof of who owns the fleet; the owner may just have changed.
-    /// A write that found another owner was not done and never will be: epochs do not come back.
-    async fn create(&self, id: &str, record: &[u8]) -> (StoreAnswer, Option<u64>) {
-        let mut epoch = self.view.owner().map_or(0, |owner| owner.epoch);
-        let mut answer = StoreAnswer::NotStored;
-        for _ in 0..CREATE_TRIES {
-            answer = self
-                .store
-                .create(id, Bytes::copy_from_slice(record), epoch)
-                .await;
-            let StoreAnswer::OtherOwner(present) = answer else {
-                break;
-            };
-            epoch = present;
-        }
-        (answer, (epoch > 0).then_some(epoch))
-    }
-
     fn count(&self, queue: &QueuePolicy) -> EntryAnswer {
         let (count, age_ms) = self.view.waiting(&queue.name);
         if age_ms > COUNT_AGE_MS {
@@ -265,7 +243,7 @@
                 self.outbox.cancelled(id);
                 EntryAnswer::Cancelled
             }
-            StoreAnswer::OtherOwner(_) => self.cancel_ended(&id).await,
+            StoreAnswer::Ended => self.cancel_ended(&id).await,
             StoreAnswer::NotStored => refused(RefusalReason::NoStore),
             StoreAnswer::Unsettled => EntryAnswer::Unsettled,
         }
--- a/crates/host/src/ownership/owner_readings.rs
+++ b/crates/host/src/ownership/owner_readings.rs
@@ -160,7 +160,7 @@
         let mut cancels = Vec::new();
         for item in items.iter().filter(|item| !item.deleted) {
             if item.key.starts_with(SUBMISSION_PREFIX) {
-                records.extend(submission_of(item).map(|record| (record, item.created, None)));
+                records.extend(submission_of(item).map(|record| (record, item.created)));
             } else if let Some(id) = item.key.strip_prefix(CANCEL_PREFIX) {
                 cancels.push(id.into());
             }
--- a/crates/host/src/peer/fleet_peer.rs
+++ b/crates/host/src/peer/fleet_peer.rs
@@ -61,8 +61,6 @@
     pub record: Vec<u8>,
     /// Revision at which it was created.
     pub created: u64,
-    /// Epoch that owned the fleet at that revision, if the write proved it.
-    pub proven_epoch: Option<u64>,
 }
 
 /// State of a submission, as the called host knows it.
--- a/crates/host/src/store/commit_desk.rs
+++ b/crates/host/src/store/commit_desk.rs
@@ -41,8 +41,8 @@
         }
     }
 
-    /// Writes a commit; returns its outcome, and its revision if it is stored.
-    pub async fn write(&self, epoch: u64, batch: &CommitBatch) -> (CommitOutcome, u64) {
+    /// Writes a commit.
+    pub async fn write(&self, epoch: u64, batch: &CommitBatch) -> CommitOutcome {
         let mut place = *self.place.lock().unwrap_or_else(PoisonError::into_inner);
         if place.epoch != epoch {
             place = CommitPlace {
@@ -56,43 +56,41 @@
         answer
     }
 
-    async fn write_at(&self, place: &mut CommitPlace, batch: &CommitBatch) -> (CommitOutcome, u64) {
-        let unknown = (CommitOutcome::Unknown, 0);
+    async fn write_at(&self, place: &mut CommitPlace, batch: &CommitBatch) -> CommitOutcome {
         let revision = match place.revision {
             Some(revision) => revision,
             None => match (self.store.read)(COMMIT_KEY.to_owned()).await {
                 Ok(item) => item.revision,
                 Err(StoreFault::Missing) => 0,
-                Err(_) => return unknown,
+                Err(_) => return CommitOutcome::Unknown,
             },
         };
         place.revision = None;
         let Some(call) = commit_call(place.epoch, place.number, revision, batch) else {
-            return unknown;
+            return CommitOutcome::Unknown;
         };
         match (self.store.write)(call).await {
             WriteOutcome::Done(revision) => {
                 place.revision = Some(revision);
-                (CommitOutcome::Stored, revision)
+                CommitOutcome::Stored
             }
             WriteOutcome::Unknown | WriteOutcome::Conflict(_) => self.settle(place).await,
-            WriteOutcome::NotDone | WriteOutcome::NoLease => unknown,
+            WriteOutcome::NotDone | WriteOutcome::NoLease => CommitOutcome::Unknown,
         }
     }
 
     /// Finds out whether the commit is stored, and whether this host is still the owner.
-    async fn settle(&self, place: &mut CommitPlace) -> (CommitOutcome, u64) {
-        let unknown = (CommitOutcome::Unknown, 0);
+    async fn settle(&self, place: &mut CommitPlace) -> CommitOutcome {
         match (self.store.read)(COMMIT_KEY.to_owned()).await {
             Ok(item) if is_commit(&item, place) => {
                 place.revision = Some(item.revision);
-                (CommitOutcome::Stored, item.revision)
+                CommitOutcome::Stored
             }
-            Err(StoreFault::Unknown | StoreFault::NotDone) => unknown,
+            Err(StoreFault::Unknown | StoreFault::NotDone) => CommitOutcome::Unknown,
             _ => match (self.store.read)(OWNER_KEY.to_owned()).await {
-                Ok(item) if item.revision == place.epoch => unknown,
-                Ok(_) | Err(StoreFault::Missing) => (CommitOutcome::Fenced, 0),
-                Err(_) => unknown,
+                Ok(item) if item.revision == place.epoch => CommitOutcome::Unknown,
+                Ok(_) | Err(StoreFault::Missing) => CommitOutcome::Fenced,
+                Err(_) => CommitOutcome::Unknown,
             },
         }
     }
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -72,7 +72,6 @@
             let id = item.key.strip_prefix(SUBMISSION_PREFIX)?;
             Some(StoredSubmission {
                 record: submission_of(item)?,
-                created: item.created,
                 progress: known.remove(id),
                 cancelled: cancelled.contains(id),
             })
--- a/crates/host/src/store/submission_store.rs
+++ b/crates/host/src/store/submission_store.rs
@@ -4,7 +4,7 @@
 use lagoonnotch_fleet::model::{ProgressRecord, SubmissionState};
 
 use crate::ports::{StoreFault, StoreItem, StorePort, WriteCall, WriteOutcome};
-use crate::store::{EndedRecord, OWNER_KEY, cancel_key, ended_key, progress_key, submission_key};
+use crate::store::{EndedRecord, cancel_key, ended_key, progress_key, submission_key};
 
 /// Reads after a write without an answer.
 const SETTLE_READS: u32 = 2;
@@ -14,8 +14,8 @@
 pub enum StoreAnswer {
     /// It is stored, since this revision.
     Stored(u64),
-    /// It is not stored, since another epoch owns the fleet; 0 for none.
-    OtherOwner(u64),
+    /// It is not stored, since the submission has ended.
+    Ended,
     /// It was stored before, at this revision.
     Present(u64),
     /// It is not stored and never will be by this call.
@@ -37,16 +37,11 @@
         Self { store }
     }
 
-    /// Stores a submission under its identifier, unless one is there or has ended, and proves that
-    /// the epoch owns the fleet at that revision; 0 proves that nobody does.
-    pub async fn create(&self, id: &str, record: Bytes, epoch: u64) -> StoreAnswer {
+    /// Stores a submission under its identifier, unless one is there or has ended.
+    pub async fn create(&self, id: &str, record: Bytes) -> StoreAnswer {
         let key = submission_key(id);
         let call = WriteCall {
-            expected: vec![
-                (key.clone(), 0),
-                (ended_key(id), 0),
-                (OWNER_KEY.to_owned(), epoch),
-            ],
+            expected: vec![(key.clone(), 0), (ended_key(id), 0)],
             set: vec![(key.clone(), record)],
             ..WriteCall::default()
         };
@@ -177,6 +172,6 @@
     };
     match keys.iter().find_map(|key| present(key)) {
         Some(item) => StoreAnswer::Present(item.created),
-        None => StoreAnswer::OtherOwner(present(OWNER_KEY).map_or(0, |item| item.revision)),
+        None => StoreAnswer::Ended,
     }
 }
