Keep several commits on their way while the store is slow, and find a lost owner sooner

Change: up to four lanes of commits, each with a key that orders it; a later lane is used only when the commit before has been on its way for 40 ms. A submission whose commit has an unknown outcome stays in its lane until that stored another.

Tests: commits.rs.

--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -19,10 +19,6 @@
 const SLOWNESS_DECAY: f64 = 0.1;
 
 /// Decides for the whole fleet while its host owns it.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "independent facts, not a state"
-)]
 #[derive(Debug)]
 pub struct OwnerMachine {
     pub(super) settings: OwnerSettings,
@@ -48,8 +44,6 @@
     /// Time at which every lease of earlier owners has run out.
     pub(super) recovery_until: u64,
     pub(super) roster_changed: bool,
-    /// Whether the roster is part of the commit in flight.
-    pub(super) roster_in_flight: bool,
     /// Submissions whose ends the store need not keep any longer.
     pub(super) forgotten: VecDeque<Arc<str>>,
     /// Submissions with a stored cancelling that had ended before.
@@ -95,7 +89,6 @@
             recovered_at: 0,
             recovery_until: 0,
             roster_changed: false,
-            roster_in_flight: false,
             forgotten: VecDeque::new(),
             stray_cancels: VecDeque::new(),
             known_revision: 0,
--- a/crates/fleet/src/owner/upkeep.rs
+++ b/crates/fleet/src/owner/upkeep.rs
@@ -66,7 +66,7 @@
             due = due.min(self.next_placement_at);
         }
         if !self.commits.is_empty() {
-            due = due.min(self.commits.last_sent_at + self.settings.commit_spacing_ms);
+            due = due.min(self.commits.last_sent_at() + self.settings.commit_spacing_ms);
         }
         if let Some(due_unix_ms) = self.ready.next_due_unix_ms() {
             due = due.min(now + due_unix_ms.saturating_sub(unix_ms));
@@ -243,17 +243,25 @@
     }
 
     fn commit(&mut self, now: u64) {
-        let due = self.commits.urgent
-            || now >= self.commits.last_sent_at + self.settings.commit_spacing_ms;
-        let anything = !self.commits.is_empty()
-            || !self.forgotten.is_empty()
-            || !self.stray_cancels.is_empty()
-            || self.roster_changed;
-        if !anything || !self.commits.is_idle() || self.roster_in_flight || !due {
-            return;
+        for lane in self.commits.free_lanes(now) {
+            let spaced = now >= self.commits.last_sent_at() + self.settings.commit_spacing_ms;
+            let extra = lane == 0
+                && (!self.forgotten.is_empty()
+                    || !self.stray_cancels.is_empty()
+                    || self.roster_changed);
+            let wanted = extra || !self.commits.is_empty();
+            if wanted && (self.commits.urgent || spaced) {
+                self.send_commit(now, lane);
+            }
         }
+    }
+
+    /// Sends a commit of a lane, if there is anything to send.
+    fn send_commit(&mut self, now: u64, lane: usize) {
         let submissions = &self.submissions;
         let ids = self.commits.take(
+            now,
+            lane,
             |id| match submissions.get(id) {
                 Some(entry) if entry.state.is_final() => CommitUrgency::Final,
                 Some(entry) if entry.planned_runs > 0 => CommitUrgency::Planned,
@@ -264,8 +272,10 @@
                 _ => PROGRESS_ENTRIES,
             },
         );
-        self.commits.last_sent_at = now;
-        let mut batch = CommitBatch::default();
+        let mut batch = CommitBatch {
+            lane,
+            ..CommitBatch::default()
+        };
         let mut left = MAX_ENTRIES;
         for id in &ids {
             let found = self.submissions.get(id).filter(|entry| !entry.moved);
@@ -284,13 +294,18 @@
                 batch.progress.push((id.clone(), entry.progress()));
             }
         }
-        let count = self.forgotten.len().min(left);
-        batch.forgotten = self.forgotten.drain(..count).collect();
-        let count = self.stray_cancels.len().min(left - count);
-        batch.stray_cancels = self.stray_cancels.drain(..count).collect();
-        batch.roster = self.roster_changed.then(|| self.roster(now));
-        self.roster_in_flight = self.roster_changed;
-        self.roster_changed = false;
+        if lane == 0 {
+            let count = self.forgotten.len().min(left);
+            batch.forgotten = self.forgotten.drain(..count).collect();
+            let count = self.stray_cancels.len().min(left - count);
+            batch.stray_cancels = self.stray_cancels.drain(..count).collect();
+            batch.roster = self.roster_changed.then(|| self.roster(now));
+            self.roster_changed = false;
+        }
+        if batch.is_empty() {
+            self.commits.abandon(lane);
+            return;
+        }
         self.effects.push(OwnerEffect::Commit(batch));
     }
 
@@ -312,15 +327,14 @@
     /// Takes the outcome of a commit.
     pub fn on_commit(&mut self, now: u64, batch: &CommitBatch, outcome: CommitOutcome) {
         let stored = outcome == CommitOutcome::Stored;
-        let ids = self.commits.finish(stored);
-        let with_roster = std::mem::take(&mut self.roster_in_flight);
+        let ids = self.commits.finish(batch.lane, stored);
         match outcome {
             CommitOutcome::Fenced => self.depose(),
             CommitOutcome::Unknown => {
                 self.forgotten.extend(batch.forgotten.iter().cloned());
                 let strays = batch.stray_cancels.iter().cloned();
                 self.stray_cancels.extend(strays);
-                self.roster_changed |= with_roster;
+                self.roster_changed |= batch.roster.is_some();
             }
             CommitOutcome::Stored => {
                 self.placement_wanted = true;
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner's decisions in virtual time.
 
 mod advice;
+mod commits;
 mod fixtures;
 mod promises;
 mod recovery;
--- a/crates/host/src/ownership/claim_desk.rs
+++ b/crates/host/src/ownership/claim_desk.rs
@@ -16,7 +16,7 @@
 use crate::control::{ControlInput, ControlLink, HostView, OwnerRef, OwnershipGrant};
 use crate::event::FleetEvent;
 use crate::ownership::owner_watch::{OwnerContact, OwnerSight};
-use crate::peer::{HelloCall, PeerLinks};
+use crate::peer::PeerLinks;
 use crate::ports::{LeaseGrant, PlatformPorts, StoreFault, WriteCall, WriteOutcome};
 use crate::store::{GENERATION_KEY, OWNER_KEY, OwnerHistory, OwnerRecord, read_recovered};
 
@@ -57,9 +57,6 @@
 /// Pause before another try to read what the store holds.
 const RECOVERY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Reason of a claim whose owner may have become reachable again meanwhile.
-const OWNER_SILENT: &str = "the owner does not answer";
-
 /// What the tasks of the ownership share.
 #[derive(Clone)]
 pub struct OwnershipParts {
@@ -126,39 +123,27 @@
         loop {
             sleep(CLAIM_INTERVAL).await;
             let sight = self.parts.sight.borrow().clone();
-            if let Some(reason) = self.parts.claim_reason() {
-                let pause_ms = self.parts.claim_pause_ms().await;
-                sleep(Duration::from_millis(pause_ms)).await;
-                let still = self.parts.claim_reason().is_some()
-                    && self.parts.sight.borrow().revision == sight.revision;
-                if still && !(reason == OWNER_SILENT && self.parts.owner_answers().await) {
-                    self.parts.claim(reason, sight).await;
-                }
+            if self.parts.claim_reason().is_none() {
+                continue;
+            }
+            let Some(history) = self.parts.read_history().await else {
+                continue;
+            };
+            let pause_ms = self.parts.claim_pause_ms(&history.0);
+            sleep(Duration::from_millis(pause_ms)).await;
+            let unchanged = self.parts.sight.borrow().revision == sight.revision;
+            if let Some(reason) = self.parts.claim_reason().filter(|_| unchanged) {
+                self.parts.claim(reason, sight, history).await;
             }
         }
     }
 }
 
 impl OwnershipParts {
-    /// Greets the owner once more: a cut may just have ended.
-    async fn owner_answers(&self) -> bool {
-        let Some(owner) = self.view.owner() else {
-            return false;
-        };
-        let call = HelloCall {
-            host: self.host.clone(),
-            address: self.address.clone(),
-            can_ask: true,
-            processor_milli: self.processor_milli,
-        };
-        self.links.hello(&owner.address, call).await.is_ok()
-    }
-
     /// Returns how long this host leaves the claim to others, in milliseconds.
-    async fn claim_pause_ms(&self) -> u64 {
-        let history = self.read_history().await;
-        let largest_owner = history.map_or(0, |(history, _)| history.largest_processor_milli);
-        let largest = self.view.largest_peer_milli().max(largest_owner);
+    fn claim_pause_ms(&self, history: &OwnerHistory) -> u64 {
+        let largest = self.view.largest_peer_milli();
+        let largest = largest.max(history.largest_processor_milli);
         let small = is_much_smaller(self.processor_milli, largest);
         let pause_ms = if small { SMALL_HOST_PAUSE_MS } else { 0 };
         pause_ms + rand::random_range(0..CLAIM_SPREAD_MS)
@@ -188,19 +173,21 @@
             return None;
         }
         if contact.failures >= LOST_GREETINGS {
-            return Some(OWNER_SILENT);
+            return Some("the owner does not answer");
         }
         let owner_store_age = contact.store_age_ms;
         (owner_store_age >= OWNER_STORE_AGE_MS).then_some("the owner has lost the store")
     }
 
     /// Replaces the owner's record as it was seen when the claim was decided.
-    async fn claim(&self, reason: &'static str, sight: OwnerSight) {
+    async fn claim(
+        &self,
+        reason: &'static str,
+        sight: OwnerSight,
+        (history, history_revision): (OwnerHistory, u64),
+    ) {
         FleetEvent::OwnershipClaimed.emit(json!({"reason": reason, "replaces": sight.revision}));
         let asked_at = now_ms();
-        let Some((history, history_revision)) = self.read_history().await else {
-            return;
-        };
         let Ok(lease) = (self.ports.store.grant)(OWNER_LEASE_MS).await else {
             return;
         };
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -26,7 +26,7 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between greetings while the owner does not answer.
-const HELLO_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+const HELLO_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The owner's record as it was read last.
 #[derive(Clone, Debug, Default)]
--- a/crates/host/src/peer/peer_links.rs
+++ b/crates/host/src/peer/peer_links.rs
@@ -15,6 +15,9 @@
 /// Longest time to connect to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time of a greeting; a lost packet costs 200 ms.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// Longest time of a short call.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -50,9 +53,15 @@
         address: &Arc<str>,
         call: HelloCall,
     ) -> Result<HelloReply, PeerFault> {
-        let client = self.client(address).await?;
-        let reply = client.hello(within(SHORT_TIMEOUT), call).await;
-        self.settle(address, reply)
+        let greeting = async {
+            let client = self.client(address).await?;
+            let reply = client.hello(within(HELLO_TIMEOUT), call).await;
+            self.settle(address, reply)
+        };
+        timeout(HELLO_TIMEOUT, greeting).await.unwrap_or_else(|_| {
+            self.lock().remove(address);
+            Err(PeerFault::NoAnswer)
+        })
     }
 
     /// Asks the previous owner to stop acting.
--- a/crates/host/src/store/commit_desk.rs
+++ b/crates/host/src/store/commit_desk.rs
@@ -4,69 +4,76 @@
 //! under the condition of that key's last revision: a commit that comes late can't overwrite a
 //! newer one.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use lagoonnotch_fleet::owner::{CommitBatch, CommitOutcome};
 
 use crate::ports::{StoreFault, StoreItem, StorePort, WriteCall, WriteOutcome};
 use crate::store::{
-    COMMIT_KEY, EndedRecord, OWNER_KEY, ROSTER_KEY, cancel_key, ended_key, progress_key,
+    EndedRecord, OWNER_KEY, ROSTER_KEY, cancel_key, commit_key, ended_key, progress_key,
     submission_key,
 };
 
-/// What is known of the commits of one epoch.
+/// What is known of the commits of one epoch in one lane.
 #[derive(Clone, Copy, Debug, Default)]
 struct CommitPlace {
     epoch: u64,
+    lane: usize,
     /// Revision of the last commit; none if it has to be read first.
     revision: Option<u64>,
     number: u64,
 }
 
-/// Writes commits.
+/// Writes commits; those of one lane in order.
 #[derive(Clone)]
 pub struct CommitDesk {
     store: StorePort,
-    place: Arc<Mutex<CommitPlace>>,
+    places: Arc<Mutex<HashMap<usize, CommitPlace>>>,
 }
 
 impl CommitDesk {
-    /// Makes a desk; one commit is written at a time.
+    /// Makes a desk; one commit of a lane is written at a time.
     #[must_use]
     pub fn new(store: StorePort) -> Self {
         Self {
             store,
-            place: Arc::default(),
+            places: Arc::default(),
         }
     }
 
     /// Writes a commit.
     pub async fn write(&self, epoch: u64, batch: &CommitBatch) -> CommitOutcome {
-        let mut place = *self.place.lock().unwrap_or_else(PoisonError::into_inner);
-        if place.epoch != epoch {
-            place = CommitPlace {
+        let known = self.places().get(&batch.lane).copied();
+        let mut place = known
+            .filter(|place| place.epoch == epoch)
+            .unwrap_or(CommitPlace {
                 epoch,
+                lane: batch.lane,
                 ..CommitPlace::default()
-            };
-        }
+            });
         place.number += 1;
-        let answer = self.write_at(&mut place, batch).await;
-        *self.place.lock().unwrap_or_else(PoisonError::into_inner) = place;
-        answer
+        let outcome = self.write_at(&mut place, batch).await;
+        self.places().insert(batch.lane, place);
+        outcome
+    }
+
+    fn places(&self) -> MutexGuard<'_, HashMap<usize, CommitPlace>> {
+        self.places.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn write_at(&self, place: &mut CommitPlace, batch: &CommitBatch) -> CommitOutcome {
         let revision = match place.revision {
             Some(revision) => revision,
-            None => match (self.store.read)(COMMIT_KEY.to_owned()).await {
+            None => match (self.store.read)(commit_key(place.lane)).await {
                 Ok(item) => item.revision,
                 Err(StoreFault::Missing) => 0,
                 Err(_) => return CommitOutcome::Unknown,
             },
         };
         place.revision = None;
-        let Some(call) = commit_call(place.epoch, place.number, revision, batch) else {
+        let Some(call) = commit_call(place, revision, batch) else {
             return CommitOutcome::Unknown;
         };
         match (self.store.write)(call).await {
@@ -81,7 +88,7 @@
 
     /// Finds out whether the commit is stored, and whether this host is still the owner.
     async fn settle(&self, place: &mut CommitPlace) -> CommitOutcome {
-        match (self.store.read)(COMMIT_KEY.to_owned()).await {
+        match (self.store.read)(commit_key(place.lane)).await {
             Ok(item) if is_commit(&item, place) => {
                 place.revision = Some(item.revision);
                 CommitOutcome::Stored
@@ -104,13 +111,11 @@
     format!("{epoch}.{number}").into()
 }
 
-fn commit_call(epoch: u64, number: u64, revision: u64, batch: &CommitBatch) -> Option<WriteCall> {
+fn commit_call(place: &CommitPlace, revision: u64, batch: &CommitBatch) -> Option<WriteCall> {
+    let key = commit_key(place.lane);
     let mut call = WriteCall {
-        expected: vec![
-            (OWNER_KEY.to_owned(), epoch),
-            (COMMIT_KEY.to_owned(), revision),
-        ],
-        set: vec![(COMMIT_KEY.to_owned(), commit_value(epoch, number))],
+        expected: vec![(OWNER_KEY.to_owned(), place.epoch), (key.clone(), revision)],
+        set: vec![(key, commit_value(place.epoch, place.number))],
         ..WriteCall::default()
     };
     for (id, progress) in &batch.progress {
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -47,8 +47,11 @@
     }
 }
 
-/// Key of the number of the last commit.
-pub const COMMIT_KEY: &str = "fleet/commit";
+/// Returns the key of the number of the last commit of a lane.
+#[must_use]
+pub fn commit_key(lane: usize) -> String {
+    format!("fleet/commit/{lane}")
+}
 
 /// Key of the list of upstreams that may hold leases.
 pub const ROSTER_KEY: &str = "fleet/roster";
--- a/crates/host/src/store/mod.rs
+++ b/crates/host/src/store/mod.rs
@@ -9,8 +9,8 @@
 
 pub use commit_desk::CommitDesk;
 pub use key_layout::{
-    COMMIT_KEY, EndedRecord, GENERATION_KEY, OWNER_KEY, OwnerHistory, OwnerRecord, ROSTER_KEY,
-    cancel_key, ended_key, progress_key, submission_key,
+    EndedRecord, GENERATION_KEY, OWNER_KEY, OwnerHistory, OwnerRecord, ROSTER_KEY, cancel_key,
+    commit_key, ended_key, progress_key, submission_key,
 };
 pub use latency_gauge::LatencyGauge;
 pub use recovery_reader::{list_all, read_recovered, submission_of};
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+use futures::try_join;
 use lagoonnotch_fleet::model::{ProgressRecord, SubmissionRecord};
 use lagoonnotch_fleet::owner::{RecoveredState, RosterEntry, StoredSubmission};
 use serde::de::DeserializeOwned;
@@ -44,14 +45,13 @@
 ///
 /// Returns the fault of the first call that failed.
 pub async fn read_recovered(store: &StorePort) -> Result<(RecoveredState, u64), StoreFault> {
-    let (progress, revision) = list_all(store, PROGRESS_PREFIX).await?;
-    let (cancels, _) = list_all(store, CANCEL_PREFIX).await?;
+    // Cancellings come first: one whose submission is not listed after it came after its end.
+    let ((cancels, revision), (progress, _), roster) = try_join!(
+        list_all(store, CANCEL_PREFIX),
+        list_all(store, PROGRESS_PREFIX),
+        read_roster(store),
+    )?;
     let (submissions, known_revision) = list_all(store, SUBMISSION_PREFIX).await?;
-    let roster = match (store.read)(ROSTER_KEY.to_owned()).await {
-        Ok(item) => parse::<Vec<RosterEntry>>(&item).unwrap_or_default(),
-        Err(StoreFault::Missing) => Vec::new(),
-        Err(fault) => return Err(fault),
-    };
     let cancelled: HashSet<_> = cancels
         .iter()
         .filter_map(|item| item.key.strip_prefix(CANCEL_PREFIX))
@@ -87,6 +87,14 @@
     Ok((recovered, revision))
 }
 
+async fn read_roster(store: &StorePort) -> Result<Vec<RosterEntry>, StoreFault> {
+    match (store.read)(ROSTER_KEY.to_owned()).await {
+        Ok(item) => Ok(parse(&item).unwrap_or_default()),
+        Err(StoreFault::Missing) => Ok(Vec::new()),
+        Err(fault) => Err(fault),
+    }
+}
+
 /// Reads the record of a submission.
 #[must_use]
 pub fn submission_of(item: &StoreItem) -> Option<Arc<SubmissionRecord>> {
