--- a/crates/fleet/benches/policy/cases.rs
+++ b/crates/fleet/benches/policy/cases.rs
@@ -64,6 +64,9 @@
                 ..calm.clone()
             },
         );
+        let mut full = calm.clone();
+        full.mix = full.mix.with_batch_burst(4.0);
+        add("full", full);
         let grown = ModelSettings {
             hosts: 36,
             ..ModelSettings::calm(mix.clone().grown(7.3), 1)
--- a/crates/fleet/benches/policy/main.rs
+++ b/crates/fleet/benches/policy/main.rs
@@ -1,71 +1,88 @@
 //! Plays the users' loads against the owner's policy, and prints what came of them.
 //!
 //! `cargo bench -p lagoonnotch-fleet --bench policy [-- NAME]` plays the cases whose names contain
-//! NAME, or all.
+//! NAME, or all, each with several seeds.
 
 mod cases;
 
 use lagoonnotch_fleet::owner::OwnerSettings;
-use lagoonnotch_model::{FleetModel, FleetOutcome};
+use lagoonnotch_model::{FleetModel, FleetOutcome, ModelSettings};
+
+/// Seeds of each case.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
 
 fn main() {
     let wanted: Vec<_> = std::env::args()
         .skip(1)
         .filter(|argument| !argument.starts_with("--"))
         .collect();
-    println!(
-        "case                  worth  in time by kind                          waits p50/p95 ms by kind"
-    );
     for case in cases::all() {
-        if !wanted.is_empty() && !wanted.iter().any(|name| case.name.contains(name.as_str())) {
-            continue;
+        if wanted.is_empty() || wanted.iter().any(|name| case.name.contains(name.as_str())) {
+            let outcomes: Vec<_> = SEEDS
+                .map(|seed| {
+                    let settings = ModelSettings {
+                        seed,
+                        ..case.settings.clone()
+                    };
+                    FleetModel::new(settings, OwnerSettings::default()).play()
+                })
+                .collect();
+            print_outcomes(&case.name, &outcomes);
         }
-        let outcome = FleetModel::new(case.settings, OwnerSettings::default()).play();
-        print_outcome(&case.name, &outcome);
     }
 }
 
+fn mean(outcomes: &[FleetOutcome], figure: impl Fn(&FleetOutcome) -> f64) -> f64 {
+    let count = u32::try_from(outcomes.len()).unwrap_or(1);
+    outcomes.iter().map(figure).sum::<f64>() / f64::from(count.max(1))
+}
+
 #[expect(clippy::cast_precision_loss, reason = "small counts")]
-fn print_outcome(name: &str, outcome: &FleetOutcome) {
-    let kinds: Vec<_> = outcome
-        .kinds
+fn print_outcomes(name: &str, outcomes: &[FleetOutcome]) {
+    println!("{name}: worth {:.3}", mean(outcomes, FleetOutcome::worth));
+    let kinds = outcomes.first().map_or(0, |outcome| outcome.kinds.len());
+    for place in 0..kinds {
+        let kind = |outcome: &FleetOutcome| outcome.kinds[place].clone();
+        let part = |count: fn(&lagoonnotch_model::KindOutcome) -> u32| {
+            mean(outcomes, |outcome| {
+                let kind = kind(outcome);
+                f64::from(count(&kind)) / f64::from(kind.submitted.max(1))
+            })
+        };
+        println!(
+            "    {:<9} in time {:.3}, late {:.3}, useless {:.3}, failed {:.3}; first start after {:.0} ms, one in twenty {:.0} ms",
+            outcomes[0].kinds[place].name,
+            part(|kind| kind.in_time),
+            part(|kind| kind.late),
+            part(|kind| kind.useless),
+            part(|kind| kind.failed),
+            mean(outcomes, |outcome| kind(outcome).wait_ms(0.5) as f64),
+            mean(outcomes, |outcome| kind(outcome).wait_ms(0.95) as f64),
+        );
+    }
+    let packing: Vec<_> = outcomes[0]
+        .packing
         .iter()
-        .map(|kind| {
-            let part = f64::from(kind.in_time) / f64::from(kind.submitted.max(1));
-            format!(
-                "{} {part:.2} ({} late, {} useless, {} failed)",
-                kind.name, kind.late, kind.useless, kind.failed
-            )
+        .enumerate()
+        .map(|(place, (pool, _))| {
+            let part = mean(outcomes, |outcome| outcome.packing[place].1);
+            format!("{pool} {part:.2}")
         })
         .collect();
-    let waits: Vec<_> = outcome
-        .kinds
-        .iter()
-        .map(|kind| format!("{}/{}", kind.wait_ms(0.5), kind.wait_ms(0.95)))
-        .collect();
     println!(
-        "{name:<20} {:>6.3}  {:<40}  {}",
-        outcome.worth(),
-        kinds.join(", "),
-        waits.join(", ")
+        "    {:.0} starts, {:.0} stopped, {:.0} questions; packing {}; unfairness {:.2}",
+        mean(outcomes, |outcome| outcome.starts as f64),
+        mean(outcomes, |outcome| outcome.stopped as f64),
+        mean(outcomes, |outcome| outcome.questions.0 as f64),
+        packing.join(", "),
+        mean(outcomes, |outcome| outcome.unfairness),
     );
-    let cost = outcome.cost;
     println!(
-        "{:<20} {} starts, {} stopped, {} questions; packing {}; unfairness {:.2}; owner {:.0} ms in all, {:.1} us a start, {:.1} ms longest tick of {}",
-        "",
-        outcome.starts,
-        outcome.stopped,
-        outcome.questions.0,
-        outcome
-            .packing
-            .iter()
-            .map(|(pool, part)| format!("{pool} {part:.2}"))
-            .collect::<Vec<_>>()
-            .join(", "),
-        outcome.unfairness,
-        cost.total.as_secs_f64() * 1e3,
-        cost.total.as_secs_f64() * 1e6 / outcome.starts.max(1) as f64,
-        cost.longest_tick.as_secs_f64() * 1e3,
-        cost.tick_count,
+        "    owner: {:.1} us a start, longest tick {:.1} ms",
+        mean(outcomes, |outcome| {
+            outcome.cost.total.as_secs_f64() * 1e6 / outcome.starts.max(1) as f64
+        }),
+        mean(outcomes, |outcome| outcome.cost.longest_tick.as_secs_f64()
+            * 1e3),
     );
 }
--- a/crates/model/src/fleet_model.rs
+++ b/crates/model/src/fleet_model.rs
@@ -30,6 +30,9 @@
 /// Time between reports of an upstream, in milliseconds.
 const REPORT_MS: u64 = 1500;
 
+/// How long upstreams take to stop a run, in milliseconds.
+const STOP_MS: u64 = 200;
+
 /// Time after which a call without an answer is given up, in milliseconds.
 const LOST_MS: u64 = 800;
 
@@ -222,6 +225,7 @@
                     _ => StopOutcome::Unknown,
                 };
                 self.release_hold(&order.upstream);
+                self.push(STOP_MS, Event::Advance(order.upstream.clone()));
                 let delay = if reached { WAY_MS } else { LOST_MS };
                 self.push(delay, Event::Stopped(order, outcome));
                 return false;
@@ -327,7 +331,7 @@
 
     fn submit(&mut self, kind: usize) {
         let team = self.draw_team();
-        let number = self.sequence;
+        let number = self.jobs.len() as u64;
         let spec = &self.settings.mix.kinds[kind];
         let job = spec.draw(
             &mut self.draw,
@@ -411,7 +415,10 @@
             .get(&order.upstream)
             .map_or(1.0, |upstream| upstream.speed);
         let mut duration = entry.job.work_ms[order.task.step as usize] as f64 / speed;
-        let mut fails = entry.job.hopeless || self.draw.happens(kind.failing);
+        // The same run ends alike whatever else the policy does, so that policies can be compared.
+        let mut luck =
+            Draw::new(self.settings.seed ^ hash_of(&[&order.task.to_string()], order.attempt));
+        let mut fails = entry.job.hopeless || luck.happens(kind.failing);
         if let Some(fault) = self.fault_of(&order.upstream) {
             duration *= fault.slowness;
             fails |= fault.fails;
@@ -711,13 +718,19 @@
 /// Tells whether the policy service allows an upstream; the answer never changes.
 #[expect(clippy::cast_precision_loss, reason = "a share")]
 fn is_allowed(step: &str, upstream: &str, share: f64) -> bool {
-    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in step.bytes().chain(upstream.bytes()) {
+    let place = hash_of(&[step, upstream], 0) >> 40;
+    (place as f64 / f64::from(1 << 24)) < share
+}
+
+/// Returns a number that depends on the texts and the number alone, and looks random.
+fn hash_of(texts: &[&str], number: u32) -> u64 {
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325 ^ u64::from(number);
+    for byte in texts.iter().flat_map(|text| text.bytes()) {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     }
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (((hash ^ (hash >> 31)) >> 40) as f64 / f64::from(1 << 24)) < share
+    hash ^ (hash >> 31)
 }
 
 fn approved_state(settings: &ModelSettings, queues: &[Arc<QueuePolicy>]) -> Arc<ApprovedState> {
@@ -776,6 +789,7 @@
             );
             let mut upstream = ModelUpstream::new(&id, 1, 1000 + draw.below(100_000));
             upstream.capacity = capacity;
+            upstream.stop_ms = STOP_MS;
             upstream.speed = pool.speeds[number as usize % pool.speeds.len()];
             upstream.lot = draw.unit();
             upstream.report = UpstreamReport {
--- a/crates/model/src/job_kind.rs
+++ b/crates/model/src/job_kind.rs
@@ -6,6 +6,12 @@
 
 use crate::Draw;
 
+/// Most accelerators of a gang, so that the upstreams that may run it suffice.
+const MAX_GANG_ACCELERATORS: u64 = 16;
+
+/// Bursts of urgent kinds come before this time, those of batch kinds after it, in milliseconds.
+const BATCH_BURST_AFTER_MS: u64 = 15_000;
+
 /// A log-normal distribution: its mean, the spread of its logarithm, and the largest value.
 #[derive(Clone, Copy, Debug)]
 pub struct Spread(pub f64, pub f64, pub f64);
@@ -141,6 +147,19 @@
         self
     }
 
+    /// Returns the mix with a long burst of its wide batch kind, which fills the pool.
+    #[must_use]
+    pub fn with_batch_burst(mut self, factor: f64) -> Self {
+        for burst in &mut self.bursts {
+            if burst.at_ms > BATCH_BURST_AFTER_MS {
+                burst.at_ms = 6000;
+                burst.for_ms = 16_000;
+                burst.factor = factor;
+            }
+        }
+        self
+    }
+
     /// Returns the factor of a kind's rate at a time.
     #[must_use]
     pub fn burst_factor(&self, kind: &str, now: u64) -> f64 {
@@ -531,8 +550,12 @@
                 0 => 0,
                 length => self.accelerators[draw.below(length) as usize],
             };
+            let mut width = self.width.draw_count(draw);
+            if self.gang {
+                width = width.min((MAX_GANG_ACCELERATORS / accelerators.max(1)).max(1));
+            }
             steps.push(StepSpec {
-                count: self.width.draw_count(draw) as u32,
+                count: width as u32,
                 demand: ResourceSize::new(
                     self.cpu_milli.draw_count(draw),
                     self.memory_mib.draw_count(draw),
--- a/crates/model/src/model_upstream.rs
+++ b/crates/model/src/model_upstream.rs
@@ -55,6 +55,8 @@
     pub next_number: u64,
     /// Highest attempt of each task that was stopped or has ended.
     pub barred: BTreeMap<TaskName, u32>,
+    /// How long a stop takes, in milliseconds.
+    pub stop_ms: u64,
     /// Runs that were stopped by orders.
     pub stopped: u64,
     /// Whether it is about to leave.
@@ -96,6 +98,7 @@
             ended: Vec::new(),
             next_number: 1,
             barred: BTreeMap::new(),
+            stop_ms: 0,
             stopped: 0,
             draining: false,
             unlisted: false,
@@ -111,7 +114,9 @@
         let due: Vec<_> = self
             .runs
             .iter()
-            .filter(|(_, run)| lapsed || (now >= run.ends_at && !self.standing))
+            .filter(|(_, run)| {
+                lapsed || (now >= run.ends_at && (!self.standing || run.end == EndKind::Stopped))
+            })
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
@@ -219,12 +224,14 @@
             return StopOutcome::Fenced;
         }
         self.epoch = order.epoch;
-        if self
-            .runs
-            .get(&order.task)
-            .is_some_and(|run| run.attempt <= order.attempt)
-        {
-            self.end(now, &order.task, EndKind::Stopped);
+        let ends_at = now + self.stop_ms;
+        let present = self.runs.get_mut(&order.task);
+        if let Some(run) = present.filter(|run| run.attempt <= order.attempt) {
+            if self.standing || ends_at < run.ends_at {
+                run.ends_at = ends_at;
+                run.end = EndKind::Stopped;
+            }
+            self.advance(now);
         }
         let barred = self.barred.entry(order.task.clone()).or_default();
         *barred = (*barred).max(order.attempt);
