Claim room for gangs, query in parallel, and say why runs are stopped

A gang stopped victims, but nothing held the room until its tickets arrived: the victims, tasks of other gangs and urgent ones took it, and the gang preempted again. Reservations were made anew in each pass, ranked otherwise than the victims. Wide gangs could not start at all: one query names 40 upstreams, a quarter of them allowed, and its tickets expire before the next answers.

Change: a gang learns which upstreams are allowed by queries that several hosts send at the same time; once enough allowed room is free or about to be, it claims these slots (slot_claims.rs), renews their tickets together, and preempts only for a claim, only after all known room is too little, and no task more than twice. Members of a completed gang are no longer stopped at once. Steps without tickets that can't query are skipped in O(1).

--- a/crates/fleet/benches/policy/cases.rs
+++ b/crates/fleet/benches/policy/cases.rs
@@ -97,5 +97,23 @@
             },
         );
     }
+    add_notice_cases(&mut cases);
     cases
 }
+
+fn add_notice_cases(cases: &mut Vec<PolicyCase>) {
+    let calm = SimulationSettings {
+        host_count: 42,
+        ..SimulationSettings::baseline(LoadMix::notice_site(), 1)
+    };
+    cases.push(PolicyCase {
+        name: "notice-calm".to_owned(),
+        settings: calm.clone(),
+    });
+    let mut full = calm;
+    full.mix = full.mix.with_batch_burst(1.8);
+    cases.push(PolicyCase {
+        name: "notice-full".to_owned(),
+        settings: full,
+    });
+}
--- a/crates/fleet/benches/policy/main.rs
+++ b/crates/fleet/benches/policy/main.rs
@@ -5,6 +5,8 @@
 
 mod cases;
 
+use std::collections::BTreeSet;
+
 use lagoonnotch_fleet::owner::OwnerSettings;
 use lagoonnotch_model::{FleetSimulation, SimulationSettings, SimulationSummary};
 
@@ -86,6 +88,16 @@
         utilizations.join(", "),
         mean(outcomes, |outcome| outcome.unfairness),
     );
+    let reasons: BTreeSet<_> = outcomes
+        .iter()
+        .flat_map(|outcome| outcome.stop_orders.keys())
+        .collect();
+    for reason in reasons {
+        let orders = mean(outcomes, |outcome| {
+            outcome.stop_orders.get(reason).copied().unwrap_or(0) as f64
+        });
+        println!("    stop orders, {reason}: {orders:.0}");
+    }
     println!(
         "    owner: {:.1} us per start, longest tick {:.1} ms",
         mean(outcomes, |outcome| {
--- a/crates/fleet/src/model/approved_config.rs
+++ b/crates/fleet/src/model/approved_config.rs
@@ -17,6 +17,28 @@
     pub valid_ms: u64,
 }
 
+/// Fixed duration above which a query counts as long, in milliseconds.
+const LONG_QUERY_MS: f64 = 100.0;
+
+impl PolicyTiming {
+    /// Returns whether a query takes long, so that some hosts are kept free for shorter ones.
+    #[must_use]
+    pub fn is_long(self) -> bool {
+        self.decision_ms > LONG_QUERY_MS
+    }
+
+    /// Returns the duration of a query about one upstream, in milliseconds.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "small positive times"
+    )]
+    #[must_use]
+    pub fn query_ms(self) -> u64 {
+        (self.decision_ms + self.per_upstream_ms).ceil() as u64
+    }
+}
+
 /// A queue of the approved configuration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QueuePolicy {
--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::model::TaskName;
-use crate::owner::CommitBatch;
+use crate::owner::{CommitBatch, StopReason};
 
 /// An order to renew an upstream's leases; the reply lists running and finished runs.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +49,8 @@
 /// An order to stop a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StopOrder {
+    /// Why the run is stopped.
+    pub reason: StopReason,
     /// Task name.
     pub task: TaskName,
     /// Attempt number.
--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -69,6 +69,20 @@
         let position = self.positions.get(index.0 as usize).copied().flatten();
         position.map(|position| position as usize)
     }
+
+    /// Returns an upstream of a pool, or `None` if it accepts no starts.
+    pub fn upstream(&self, pool: &str, index: UpstreamIndex) -> Option<&UpstreamView> {
+        let position = self.position_of(index)?;
+        let found = self.pools.get(pool)?.upstreams.get(position);
+        found.filter(|upstream| upstream.index == index)
+    }
+
+    /// Returns an upstream of a pool for changes, or `None` if it accepts no starts.
+    pub fn upstream_mut(&mut self, pool: &str, index: UpstreamIndex) -> Option<&mut UpstreamView> {
+        let position = self.position_of(index)?;
+        let found = self.pools.get_mut(pool)?.upstreams.get_mut(position);
+        found.filter(|upstream| upstream.index == index)
+    }
 }
 
 impl OwnerMachine {
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 
 use crate::model::{FinishedRun, RenewReply, RunOutcome, RunReport, SubmissionState, TaskName};
-use crate::owner::OwnerMachine;
 use crate::owner::submission_entry::{OccurrenceEntry, SubmissionEntry, TaskPhase};
 use crate::owner::upstream_entry::{ClockReading, RunPhase};
+use crate::owner::{OwnerMachine, StopReason};
 
 /// Number of submissions with failed runs after which an upstream is quarantined; a completed run
 /// resets the count.
@@ -305,7 +305,12 @@
         let id = entry.record.id.clone();
         let active = entry.is_active();
         for (member, other_upstream) in other_members {
-            self.stop_run(now + GANG_STOP_DELAY_MS, &other_upstream, &member);
+            self.stop_run(
+                now + GANG_STOP_DELAY_MS,
+                &other_upstream,
+                &member,
+                StopReason::GangDone,
+            );
         }
         if step_done && active {
             self.ready.mark_changed(&id);
@@ -501,7 +506,12 @@
         self.allocate(upstream, name, run);
         self.record_change(&name.submission, false);
         if !keep {
-            self.stop_run(now, upstream, name);
+            let reason = if active {
+                StopReason::Superseded
+            } else {
+                StopReason::SubmissionEnded
+            };
+            self.stop_run(now, upstream, name, reason);
         }
         true
     }
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -8,7 +8,7 @@
 
 use crate::model::{RejectReason, StartOutcome, StopOutcome, TaskName};
 use crate::owner::upstream_entry::{ContactState, RunPhase};
-use crate::owner::{OwnerEffect, OwnerMachine, StartOrder, StopOrder};
+use crate::owner::{OwnerEffect, OwnerMachine, StartOrder, StopOrder, StopReason};
 
 /// Maximum number of start orders for one attempt before it is withdrawn.
 const MAX_START_ORDERS: u32 = 3;
@@ -105,6 +105,7 @@
             && run.phase != RunPhase::Stopping
         {
             run.phase = RunPhase::Unconfirmed;
+            run.stop_reason = Some(StopReason::StartUnconfirmed);
             run.stop_due_at = now;
             entry.stops_pending = true;
         }
@@ -148,7 +149,7 @@
         let members = self.gang_runs(name);
         for (member, upstream) in members {
             if member != *name {
-                self.stop_run(now, &upstream, &member);
+                self.stop_run(now, &upstream, &member, StopReason::GangBroken);
             }
         }
     }
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -11,6 +11,7 @@
 use crate::owner::fleet_view::UpstreamIndex;
 use crate::owner::query_dispatcher::QueryDispatcher;
 use crate::owner::ready_list::ReadyList;
+use crate::owner::slot_claims::ClaimTable;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
 use crate::owner::upstream_entry::{RunEntry, RunPhase, UpstreamEntry};
 use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry};
@@ -36,6 +37,8 @@
     /// Resources in use by each team; equals the sum over all runs.
     pub(super) team_usage: HashMap<Arc<str>, ResourceSize>,
     pub(super) ready: ReadyList,
+    /// Capacity claimed for gangs that are about to start.
+    pub(super) claims: ClaimTable,
     /// Number of upstream indexes assigned so far.
     pub(super) index_count: u32,
     pub(super) queries: QueryDispatcher,
@@ -87,6 +90,7 @@
             upstreams: BTreeMap::new(),
             team_usage: HashMap::new(),
             ready: ReadyList::default(),
+            claims: ClaimTable::default(),
             index_count: 0,
             queries: QueryDispatcher::default(),
             commits: CommitQueue::default(),
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use crate::model::{PolicyTiming, ResourceSize};
-use crate::owner::fleet_view::FleetView;
+use crate::owner::fleet_view::{FleetView, UpstreamIndex};
 use crate::owner::placement::PlacementRequest;
 use crate::owner::query_dispatcher::{PolicyQuery, QueryOutcome};
 use crate::owner::ready_list::ReadyStep;
@@ -63,10 +63,9 @@
         let Some(step) = self.step_of(ready) else {
             return;
         };
-        let long = service.decision_ms > crate::owner::query_dispatcher::LONG_QUERY_MS;
-        if step.pending_query.is_some()
+        if !step.pending_queries.is_empty()
             || now < step.query_not_before
-            || !self.queries.has_free_host(now, long)
+            || !self.queries.has_free_host(now, service.is_long())
         {
             return;
         }
@@ -76,14 +75,34 @@
         }
         let upstreams =
             self.upstreams_to_query(now, ready, request, unplaced as u64, service, view);
-        let mut query_id = None;
-        if !upstreams.is_empty() {
-            query_id = self.send_query(now, ready, upstreams, service, long);
+        let sent = !upstreams.is_empty() && self.send_query(now, ready, upstreams, service);
+        if !sent && let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step)
+        {
+            step.query_not_before = now + NO_CAPACITY_DELAY_MS;
         }
-        if let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step) {
-            step.pending_query = query_id;
-            if query_id.is_none() {
-                step.query_not_before = now + NO_CAPACITY_DELAY_MS;
+    }
+
+    /// Queries the policy service about all these upstreams at the same time, by as many hosts as
+    /// keep each query short.
+    pub(super) fn query_in_parallel(
+        &mut self,
+        now: u64,
+        ready: &ReadyStep,
+        upstreams: Vec<Arc<str>>,
+    ) {
+        let Some(service) = ready.queue.policy_service else {
+            return;
+        };
+        let step = self.step_of(ready);
+        if step.is_none_or(|step| now < step.query_not_before) {
+            return;
+        }
+        let most = cheap_upstream_count(service).clamp(1, MAX_QUERIED_UPSTREAMS);
+        let query_count = upstreams.len().div_ceil(most).max(1);
+        let chunk = upstreams.len().div_ceil(query_count).max(1);
+        for queried in upstreams.chunks(chunk) {
+            if !self.send_query(now, ready, queried.to_vec(), service) {
+                break;
             }
         }
     }
@@ -94,8 +113,7 @@
         ready: &ReadyStep,
         upstreams: Vec<Arc<str>>,
         service: PolicyTiming,
-        long: bool,
-    ) -> Option<u64> {
+    ) -> bool {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -111,7 +129,12 @@
             upstreams: upstreams.clone(),
             valid_ms: service.valid_ms,
         };
-        let (query_id, host) = self.queries.assign(now, query, long)?;
+        let Some((query_id, host)) = self.queries.assign(now, query, service.is_long()) else {
+            return false;
+        };
+        if let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step) {
+            step.pending_queries.insert(query_id);
+        }
         self.effects.push(OwnerEffect::Query(QueryOrder {
             query_id,
             host,
@@ -119,7 +142,7 @@
             upstreams,
             timeout_ms: duration_ms + QUERY_TIMEOUT_SLACK_MS,
         }));
-        Some(query_id)
+        true
     }
 
     /// Chooses the upstreams for a query.
@@ -191,21 +214,17 @@
         service: PolicyTiming,
         view: &mut FleetView,
     ) -> Vec<QueryCandidate> {
-        let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get_mut(&ready.queue.pool))
+        let within_ms = service.query_ms();
+        self.ensure_freed_within(now, &ready.queue.pool, within_ms, view);
+        let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
         else {
             return Vec::new();
         };
-        let within_ms = query_ms(service);
-        let freed = pool.freed_within.entry(within_ms).or_insert_with(|| {
-            let upstreams = pool.upstreams.iter();
-            upstreams
-                .map(|upstream| self.freed_within(now, &upstream.id, within_ms))
-                .collect()
-        });
+        let freed = pool.freed_within.get(&within_ms).into_iter().flatten();
         let allocation = request.allocation();
         pool.upstreams
             .iter()
-            .zip(freed.iter())
+            .zip(freed)
             .filter(|(upstream, _)| {
                 request.could_run(upstream, step) && !has_ticket(step, upstream.index, now)
             })
@@ -223,6 +242,26 @@
             .collect()
     }
 
+    /// Computes the capacity that becomes free within a duration, once for each pass.
+    pub(super) fn ensure_freed_within(
+        &self,
+        now: u64,
+        pool: &Arc<str>,
+        within_ms: u64,
+        view: &mut FleetView,
+    ) {
+        let Some(pool) = view.pools.get_mut(pool) else {
+            return;
+        };
+        if !pool.freed_within.contains_key(&within_ms) {
+            let upstreams = pool.upstreams.iter();
+            let freed = upstreams
+                .map(|upstream| self.freed_within(now, &upstream.id, within_ms))
+                .collect();
+            pool.freed_within.insert(within_ms, freed);
+        }
+    }
+
     fn freed_within(&self, now: u64, id: &Arc<str>, within_ms: u64) -> ResourceSize {
         self.upstreams.get(id).map_or(ResourceSize::ZERO, |entry| {
             entry.freed_within(now, within_ms)
@@ -250,20 +289,27 @@
         else {
             return;
         };
-        step.pending_query = None;
+        step.pending_queries.remove(&query_id);
         let QueryOutcome::Answered(decision) = outcome else {
             return;
         };
         let valid_ms = decision.valid_ms.min(query.valid_ms);
         let expires_at = now + valid_ms.saturating_sub(TICKET_MARGIN_MS);
+        step.tickets_expire_at = step.tickets_expire_at.max(expires_at);
+        let mut undecided = 0;
+        let mut newly_allowed = 0;
         for (id, index) in indexes {
             match decision.allowed.iter().find(|(allowed, _)| allowed == id) {
                 Some((_, ticket)) => {
                     let ticket = ticket.clone();
-                    step.tickets
-                        .insert(index, TicketEntry { ticket, expires_at });
+                    let entry = TicketEntry { ticket, expires_at };
+                    if step.tickets.insert(index, entry).is_none() {
+                        undecided += 1;
+                        newly_allowed += 1;
+                    }
                 }
                 None => {
+                    undecided += 1;
                     step.denied.insert(index);
                 }
             }
@@ -271,10 +317,14 @@
         if decision.allowed.is_empty() {
             step.query_not_before = now + EMPTY_DECISION_DELAY_MS;
         }
+        if let Some(entry) = self.submissions.get(submission) {
+            let queue = entry.record.queue.name.clone();
+            self.queries.learn_share(&queue, newly_allowed, undecided);
+        }
     }
 }
 
-fn has_ticket(step: &StepEntry, index: crate::owner::fleet_view::UpstreamIndex, now: u64) -> bool {
+fn has_ticket(step: &StepEntry, index: UpstreamIndex, now: u64) -> bool {
     step.tickets
         .get(&index)
         .is_some_and(|ticket| now < ticket.expires_at)
@@ -292,13 +342,3 @@
     }
     (service.decision_ms * EXTRA_UPSTREAM_COST_SHARE / service.per_upstream_ms) as usize
 }
-
-/// Returns the duration of a query about one upstream, in milliseconds.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "small positive times"
-)]
-fn query_ms(service: PolicyTiming) -> u64 {
-    (service.decision_ms + service.per_upstream_ms).ceil() as u64
-}
--- a/crates/fleet/src/owner/preemption.rs
+++ b/crates/fleet/src/owner/preemption.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 
 use crate::model::{ResourceSize, TaskName};
-use crate::owner::OwnerMachine;
 use crate::owner::fleet_view::{FleetView, UpstreamView};
 use crate::owner::placement::PlacementRequest;
 use crate::owner::ready_list::ReadyStep;
 use crate::owner::submission_entry::StepEntry;
 use crate::owner::upstream_entry::{RunPhase, UpstreamEntry};
+use crate::owner::{OwnerMachine, StopReason};
 
 /// Maximum number of searches for victims in one placement pass; each search examines many runs.
 pub(super) const MAX_PREEMPTION_SEARCHES: u32 = 6;
@@ -23,13 +23,12 @@
 /// Waiting time after which a long-running step preempts others, in milliseconds.
 const LONG_RUNNING_PREEMPTION_DELAY_MS: u64 = 300;
 
-/// Waiting time after which a gang preempts others, in milliseconds. Runs that end within this time
-/// free their capacity without loss.
-const GANG_PREEMPTION_DELAY_MS: u64 = 500;
-
 /// Delay between two searches for victims of the same step, in milliseconds.
 const PREEMPTION_RETRY_DELAY_MS: u64 = 60;
 
+/// Number of times that a task is preempted at most; after that its runs are left to end.
+const MAX_PREEMPTIONS: u32 = 2;
+
 /// Assumed work lost when a run with checkpoints is stopped, in milliseconds.
 const CHECKPOINT_LOSS_MS: u64 = 600;
 
@@ -41,23 +40,23 @@
 
 /// What capacity is preempted for, and from which runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum PreemptionKind {
+pub(super) enum PreemptionKind {
     /// One urgent task; the loss is bounded.
     Urgent,
     /// One long-running task; the loss is not bounded.
     LongRunning,
-    /// All tasks of a gang; only runs with checkpoints are preempted.
+    /// All tasks of a gang; only runs with checkpoints are preempted, unless the gang is urgent.
     Gang,
 }
 
 /// Runs of one upstream whose end frees capacity for tasks.
 #[derive(Debug)]
-struct VictimSet {
+pub(super) struct VictimSet {
     /// Work lost if the runs are stopped, in core-milliseconds.
     loss_core_ms: u64,
     /// Number of additional tasks that then fit.
-    extra_tasks: u64,
-    upstream: Arc<str>,
+    pub extra_tasks: u64,
+    pub upstream: Arc<str>,
     names: Vec<TaskName>,
 }
 
@@ -90,8 +89,17 @@
             return;
         }
         for set in self.choose_victims(now, ready, request, kind, unplaced as u64, view) {
-            for name in set.names {
-                self.stop_run(now, &set.upstream, &name);
+            self.stop_victims(now, ready, &set);
+        }
+    }
+
+    /// Stops the runs of a set for a step.
+    pub(super) fn stop_victims(&mut self, now: u64, ready: &ReadyStep, set: &VictimSet) {
+        for name in &set.names {
+            let reason = StopReason::Preempted(ready.submission.clone());
+            self.stop_run(now, &set.upstream, name, reason);
+            if let Some(task) = self.task_mut(name) {
+                task.preemptions += 1;
             }
         }
     }
@@ -142,13 +150,13 @@
                 .min_by_key(|set| set.loss_core_ms)
                 .into_iter()
                 .collect(),
-            PreemptionKind::Gang => cheapest_sets(sets.collect(), unplaced - soon_free_slots),
+            PreemptionKind::Gang => Vec::new(),
         }
     }
 
     /// Chooses the runs of an upstream with the smallest loss that free capacity for one task, or
     /// for as many tasks of a gang as fit.
-    fn victims_on(
+    pub(super) fn victims_on(
         &self,
         now: u64,
         ready: &ReadyStep,
@@ -214,7 +222,8 @@
                     && submission.record.queue.priority > ready.priority
                     && !spec.long_running
                     && !spec.gang
-                    && (kind != PreemptionKind::Gang || spec.checkpointing);
+                    && (kind != PreemptionKind::Gang || spec.checkpointing || ready.priority == 0)
+                    && submission.preemptions_of(name) < MAX_PREEMPTIONS;
                 let lost_ms = if spec.checkpointing {
                     CHECKPOINT_LOSS_MS
                 } else {
@@ -229,8 +238,7 @@
         runs
     }
 
-    /// Reserves capacity for a waiting gang or long-running step, so that later steps do not take
-    /// it.
+    /// Reserves capacity for a waiting long-running step, so that later steps do not take it.
     pub(super) fn reserve_capacity(
         &self,
         ready: &ReadyStep,
@@ -287,9 +295,7 @@
     ready: &ReadyStep,
     request: &PlacementRequest,
 ) -> Option<PreemptionKind> {
-    let (kind, delay_ms) = if request.spec().gang {
-        (PreemptionKind::Gang, GANG_PREEMPTION_DELAY_MS)
-    } else if request.spec().long_running {
+    let (kind, delay_ms) = if request.spec().long_running {
         (
             PreemptionKind::LongRunning,
             LONG_RUNNING_PREEMPTION_DELAY_MS,
@@ -329,7 +335,7 @@
 
 /// Returns the sets with the smallest loss per task that free capacity for `wanted` tasks; none if
 /// they do not suffice.
-fn cheapest_sets(mut sets: Vec<VictimSet>, wanted: u64) -> Vec<VictimSet> {
+pub(super) fn cheapest_sets(mut sets: Vec<VictimSet>, wanted: u64) -> Vec<VictimSet> {
     sets.sort_by_key(|set| set.loss_core_ms / set.extra_tasks);
     let mut found = 0;
     let mut chosen = Vec::new();
--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -3,11 +3,14 @@
 //! The service handles one call at a time from each calling host, so each host has at most one
 //! query in flight. Long queries leave some hosts free for short ones.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// Fixed query duration above which a query counts as long, in milliseconds.
-pub(super) const LONG_QUERY_MS: f64 = 100.0;
+/// Assumed share of upstreams that the policy service allows, before the first decision.
+const INITIAL_ALLOWED_SHARE: f64 = 0.3;
+
+/// Weight of one decision about a single upstream in the learnt share.
+const SHARE_SMOOTHING: f64 = 0.005;
 
 /// Decision of the policy service about a step.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,16 +66,25 @@
     /// Queries in flight by number; at most one for each host.
     pending: BTreeMap<u64, PendingQuery>,
     hosts: BTreeMap<Arc<str>, HostLoad>,
+    /// Free hosts by the number of their last query; the one that has been idle longest is first.
+    free_hosts: BTreeSet<(u64, Arc<str>)>,
+    /// Number of long queries in flight.
+    long_pending: usize,
+    /// Smoothed share of upstreams that the policy service allows, by queue.
+    allowed_shares: HashMap<Arc<str>, f64>,
 }
 
 impl QueryDispatcher {
     /// Sets the hosts that may send queries.
     pub fn set_hosts(&mut self, hosts: &BTreeSet<Arc<str>>) {
+        let known_only = |host: &Arc<str>| hosts.contains(host);
         self.hosts
-            .retain(|host, load| load.busy || hosts.contains(host));
+            .retain(|host, load| load.busy || known_only(host));
+        self.free_hosts.retain(|(_, host)| known_only(host));
         for host in hosts {
             if !self.hosts.contains_key(host) {
                 self.hosts.insert(host.clone(), HostLoad::default());
+                self.free_hosts.insert((0, host.clone()));
             }
         }
     }
@@ -82,22 +94,23 @@
         self.free_host(now, long).is_some()
     }
 
-    fn free_host(&self, now: u64, long: bool) -> Option<&Arc<str>> {
-        let long_pending = self.pending.values().filter(|pending| pending.long).count();
+    fn free_host(&self, now: u64, long: bool) -> Option<&(u64, Arc<str>)> {
         // At most two thirds of the hosts, but at least one, may have long queries in flight.
-        if long && long_pending >= (self.hosts.len() * 2 / 3).max(1) {
+        if long && self.long_pending >= (self.hosts.len() * 2 / 3).max(1) {
             return None;
         }
-        self.hosts
-            .iter()
-            .filter(|(_, load)| !load.busy && load.paused_until <= now)
-            .min_by_key(|(_, load)| load.last_query)
-            .map(|(host, _)| host)
+        let is_paused = |host: &Arc<str>| {
+            let load = self.hosts.get(host);
+            load.is_some_and(|load| load.paused_until > now)
+        };
+        self.free_hosts.iter().find(|(_, host)| !is_paused(host))
     }
 
     /// Assigns a query to a free host; returns the query's number and the host.
     pub fn assign(&mut self, now: u64, query: PolicyQuery, long: bool) -> Option<(u64, Arc<str>)> {
-        let host = self.free_host(now, long)?.clone();
+        let free = self.free_host(now, long)?.clone();
+        self.free_hosts.remove(&free);
+        let (_, host) = free;
         self.last_query += 1;
         let query_id = self.last_query;
         if let Some(load) = self.hosts.get_mut(&host) {
@@ -109,6 +122,7 @@
             host: host.clone(),
             long,
         };
+        self.long_pending += usize::from(long);
         self.pending.insert(query_id, pending);
         Some((query_id, host))
     }
@@ -116,10 +130,31 @@
     /// Completes a query; `pause_until` delays the host's next one.
     pub fn finish(&mut self, query_id: u64, pause_until: Option<u64>) -> Option<PolicyQuery> {
         let pending = self.pending.remove(&query_id)?;
+        self.long_pending -= usize::from(pending.long);
         if let Some(load) = self.hosts.get_mut(&pending.host) {
             load.busy = false;
             load.paused_until = pause_until.unwrap_or(load.paused_until);
+            self.free_hosts.insert((load.last_query, pending.host));
         }
         Some(pending.query)
     }
+
+    /// Returns the share of upstreams that the policy service is expected to allow for a step of a
+    /// queue.
+    pub fn allowed_share(&self, queue: &str) -> f64 {
+        let share = self.allowed_shares.get(queue).copied();
+        share.unwrap_or(INITIAL_ALLOWED_SHARE)
+    }
+
+    /// Updates the share of a queue from a decision about upstreams that were not decided before.
+    pub fn learn_share(&mut self, queue: &Arc<str>, allowed: u32, decided: u32) {
+        if decided == 0 {
+            return;
+        }
+        let share = self.allowed_share(queue);
+        let weight = 1.0 - (1.0 - SHARE_SMOOTHING).powf(f64::from(decided));
+        let observed = f64::from(allowed) / f64::from(decided);
+        let learnt = share + weight * (observed - share);
+        self.allowed_shares.insert(queue.clone(), learnt);
+    }
 }
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -182,6 +182,7 @@
             team: entry.record.team.clone(),
             confirmed_at: (phase == RunPhase::Running).then_some(now),
             start_orders: 1,
+            stop_reason: None,
             stop_due_at: now,
             stop_accepted_at: None,
             urgent: entry.record.queue.priority == 0,
--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use crate::model::{RunOutcome, StepSpec, TaskName};
-use crate::owner::OwnerMachine;
 use crate::owner::upstream_entry::{RunEntry, RunPhase};
+use crate::owner::{OwnerMachine, StopReason};
 
 /// Minimum time without progress after which a run counts as stalled, in milliseconds.
 const MIN_STALL_MS: u64 = 1200;
@@ -39,7 +39,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in stalled {
-            self.stop_run(now, upstream, &name);
+            self.stop_run(now, upstream, &name, StopReason::Stalled);
             self.stop_gang(now, &name);
             if let Some(task) = self.task_mut(&name) {
                 task.avoided_upstream = Some(upstream.clone());
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -3,8 +3,8 @@
 //! The load mixes many short urgent submissions, batch steps with many tasks, gangs whose members
 //! each occupy a whole upstream, and long-running tasks. Submissions that can still meet their
 //! objective come before late ones; then priority decides, then the earlier deadline of the
-//! objective. A gang or long-running step that does not fit reserves the capacity that it waits
-//! for, so that later steps do not take it.
+//! objective. A gang that does not fit claims the capacity that it waits for, and a long-running step
+//! reserves it, so that later steps do not take it.
 //!
 //! A task is allocated first, then recorded in the store, and only then started
 //! (`planned_start.rs`).
@@ -13,6 +13,7 @@
 use crate::owner::fleet_view::FleetView;
 use crate::owner::placement::PlacementRequest;
 use crate::owner::ready_list::ReadyStep;
+use crate::owner::slot_claims::StepKey;
 use crate::owner::submission_entry::{StepEntry, TaskPhase};
 use crate::owner::upstream_entry::RunPhase;
 
@@ -28,6 +29,7 @@
             return;
         }
         let mut view = self.fleet_view(now);
+        self.claims.apply(now, &mut view);
         for step in ready {
             self.place_step(now, &step, &mut view);
         }
@@ -36,10 +38,21 @@
     /// Places the tasks of one step; queries the policy service or preempts other runs if some do
     /// not fit.
     fn place_step(&mut self, now: u64, ready: &ReadyStep, view: &mut FleetView) {
+        if self.awaits_tickets(now, ready) {
+            return;
+        }
         let Some(request) = self.placement_request(now, ready) else {
             self.ready.mark_changed(&ready.submission);
             return;
         };
+        let claim = if request.spec().gang {
+            self.claims.take(&StepKey::from(ready))
+        } else {
+            None
+        };
+        if let Some(claim) = &claim {
+            claim.release_in(view);
+        }
         if request.startable.is_empty() {
             self.recheck_if_none_waiting(ready);
             return;
@@ -53,15 +66,40 @@
             self.recheck_if_none_waiting(ready);
             return;
         }
+        if request.spec().gang {
+            self.arrange_gang(now, ready, &request, claim, view);
+            return;
+        }
         if request.needs_ticket {
             self.query_for_step(now, ready, &request, unplaced, view);
         }
         self.preempt_for(now, ready, &request, unplaced, view);
-        if request.spec().gang || request.spec().long_running {
+        if request.spec().long_running {
             self.reserve_capacity(ready, &request, unplaced, view);
         }
     }
 
+    /// Returns whether the step has no valid ticket and can't query for one now. Gangs and
+    /// long-running steps are examined nevertheless, because they hold capacity meanwhile.
+    fn awaits_tickets(&self, now: u64, ready: &ReadyStep) -> bool {
+        let Some(service) = ready.queue.policy_service else {
+            return false;
+        };
+        let spec = self
+            .submissions
+            .get(&ready.submission)
+            .and_then(|entry| entry.record.steps.get(ready.step as usize));
+        if spec.is_none_or(|spec| spec.gang || spec.long_running) {
+            return false;
+        }
+        self.step_of(ready).is_some_and(|step| {
+            let may_query = step.pending_queries.is_empty()
+                && now >= step.query_not_before
+                && self.queries.has_free_host(now, service.is_long());
+            now >= step.tickets_expire_at && !may_query
+        })
+    }
+
     /// Marks the submission to be examined again if no task of the step is waiting.
     fn recheck_if_none_waiting(&mut self, ready: &ReadyStep) {
         let waits = |step: &StepEntry| {
--- a/crates/fleet/src/owner/submission_end.rs
+++ b/crates/fleet/src/owner/submission_end.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use crate::model::{SubmissionState, TaskName};
-use crate::owner::OwnerMachine;
 use crate::owner::upstream_entry::RunPhase;
+use crate::owner::{OwnerMachine, StopReason};
 
 impl OwnerMachine {
     /// Cancels a submission whose cancellation is already stored.
@@ -27,6 +27,7 @@
         entry.state = state;
         self.active.remove(id);
         self.ready.remove(id);
+        self.claims.remove_submission(id);
         self.record_change(id, true);
         self.stop_runs_of(now, id);
         self.placement_pending = true;
@@ -44,12 +45,18 @@
         for (upstream, entry) in &mut self.upstreams {
             let runs = entry.runs.range_mut(first.clone()..);
             for (name, run) in runs.take_while(|(name, _)| name.submission == *id) {
-                if run.phase == RunPhase::Planned {
-                    planned.push((upstream.clone(), name.clone()));
-                    continue;
+                match run.phase {
+                    RunPhase::Planned => {
+                        planned.push((upstream.clone(), name.clone()));
+                        continue;
+                    }
+                    // The members of a completed gang end by themselves before their stop is due.
+                    RunPhase::Stopping => continue,
+                    _ => {}
                 }
                 entry.stops_pending = true;
                 run.phase = RunPhase::Stopping;
+                run.stop_reason = Some(StopReason::SubmissionEnded);
                 run.stop_due_at = now;
             }
         }
@@ -60,7 +67,13 @@
 
     /// Stops a run by a stop order that is sent no earlier than `stop_at`. A planned run is
     /// released at once, because no start order for it was sent.
-    pub(super) fn stop_run(&mut self, stop_at: u64, upstream: &Arc<str>, name: &TaskName) {
+    pub(super) fn stop_run(
+        &mut self,
+        stop_at: u64,
+        upstream: &Arc<str>,
+        name: &TaskName,
+        reason: StopReason,
+    ) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
@@ -75,6 +88,7 @@
             }
             _ => {
                 run.phase = RunPhase::Stopping;
+                run.stop_reason = Some(reason);
                 run.stop_due_at = stop_at;
                 entry.stops_pending = true;
             }
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::model::{ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState};
+use crate::model::{
+    ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState, TaskName,
+};
 use crate::owner::fleet_view::UpstreamIndex;
 
 /// Phase of a task.
@@ -31,6 +33,8 @@
     /// Number of allocated runs on all upstreams; the task is started only if there are none.
     pub allocated_runs: u32,
     pub checkpoint: Option<Arc<str>>,
+    /// Number of times that a run of the task was preempted.
+    pub preemptions: u32,
     /// Upstream of the last failed or stalled run; the next run is placed elsewhere if possible.
     pub avoided_upstream: Option<Arc<str>>,
     /// Earliest time of the next start.
@@ -53,10 +57,14 @@
     pub tickets: BTreeMap<UpstreamIndex, TicketEntry>,
     /// Upstreams that may not run the step; a denial never changes.
     pub denied: BTreeSet<UpstreamIndex>,
-    /// Number of the query about this step that is in flight.
-    pub pending_query: Option<u64>,
+    /// Time at which the last ticket expires; 0 before the first one.
+    pub tickets_expire_at: u64,
+    /// Numbers of the queries about this step that are in flight.
+    pub pending_queries: BTreeSet<u64>,
     /// Earliest time of the next query.
     pub query_not_before: u64,
+    /// Earliest time of the next attempt to arrange room for the gang.
+    pub arrange_not_before: u64,
     /// Earliest time of the next search for victims.
     pub preemption_not_before: u64,
     /// Latest checkpoint of any member of the gang.
@@ -157,6 +165,15 @@
             .all(|earlier| steps.get(*earlier as usize).is_some_and(StepEntry::is_done))
     }
 
+    /// Returns how often a task was preempted.
+    pub fn preemptions_of(&self, name: &TaskName) -> u32 {
+        let occurrence = self.occurrences.get(name.occurrence as usize);
+        occurrence
+            .and_then(|occurrence| occurrence.steps.get(name.step as usize))
+            .and_then(|step| step.tasks.get(name.index as usize))
+            .map_or(0, |task| task.preemptions)
+    }
+
     /// Returns whether only the final state needs to be kept, because no runs are left.
     pub fn can_archive(&self) -> bool {
         self.state.is_final() && self.allocated_runs == 0
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -9,7 +9,7 @@
 use crate::owner::upstream_entry::{ContactState, RunPhase};
 use crate::owner::{
     CommitBatch, CommitOutcome, EndedSubmission, OwnerEffect, OwnerMachine, RenewOrder,
-    RosterEntry, StopOrder,
+    RosterEntry, StopOrder, StopReason,
 };
 
 /// Additional delay of a renewal while finished runs are not stored yet, in milliseconds. They
@@ -203,7 +203,9 @@
                     continue;
                 }
                 run.stop_due_at = now + self.settings.stop_retry_interval_ms;
+                let reason = run.stop_reason.clone();
                 self.effects.push(OwnerEffect::Stop(StopOrder {
+                    reason: reason.unwrap_or(StopReason::StartUnconfirmed),
                     task: name.clone(),
                     attempt: run.attempt,
                     upstream: id.clone(),
@@ -220,6 +222,7 @@
             return;
         };
         self.effects.push(OwnerEffect::Stop(StopOrder {
+            reason: StopReason::UnknownTask,
             task: name.clone(),
             attempt,
             upstream: upstream.clone(),
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::model::{ResourceSize, TaskName, UpstreamReport};
+use crate::owner::StopReason;
 use crate::owner::fleet_view::UpstreamIndex;
 
 /// Factor from a duration on an upstream's clock to the longest possible duration on the owner's
@@ -45,6 +46,8 @@
     pub confirmed_at: Option<u64>,
     /// Number of start orders for this attempt; 1 even before the first one is sent.
     pub start_orders: u32,
+    /// Why it is being stopped; `None` unless it is in phase `Stopping` or `Unconfirmed`.
+    pub stop_reason: Option<StopReason>,
     /// Time of the next stop order.
     pub stop_due_at: u64,
     /// Time at which the upstream accepted a stop order.
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod commits;
 mod fixtures;
+mod gangs;
 mod invariant_checks;
 mod promises;
 mod recovery;
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -109,6 +109,8 @@
     pub acknowledged_tasks: BTreeSet<TaskName>,
     /// Start orders that were sent.
     pub started: Vec<StartOrder>,
+    /// Stop orders that were sent.
+    pub stopped: Vec<StopOrder>,
     /// Step and number of upstreams of each query to the policy service.
     pub queries: Vec<(String, usize)>,
     /// Upstreams that the policy service allows; `None` allows all.
@@ -155,6 +157,7 @@
             violations: Vec::new(),
             acknowledged_tasks: BTreeSet::new(),
             started: Vec::new(),
+            stopped: Vec::new(),
             queries: Vec::new(),
             allowed: None,
             run_ms: None,
@@ -314,7 +317,10 @@
                 let incarnation = self.incarnation_of(&order.upstream);
                 self.push(1, Message::Start(order, incarnation));
             }
-            OwnerEffect::Stop(order) => self.push(1, Message::Stop(order)),
+            OwnerEffect::Stop(order) => {
+                self.stopped.push(order.clone());
+                self.push(1, Message::Stop(order));
+            }
             OwnerEffect::Commit(batch) => self.push(4, Message::Commit(epoch, batch)),
             OwnerEffect::Query(order) => {
                 self.queries
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -135,11 +135,14 @@
             StopOutcome::Accepted => "stop_accepted",
             _ => "stop_failed",
         });
+        self.metrics.count_stop(order.reason.label());
         FleetEvent::StopOrdered.emit(json!({
             "request": order.task.submission,
             "task": order.task.to_string(),
             "attempt": order.attempt,
             "upstream": order.upstream,
+            "reason": order.reason.label(),
+            "preempted_for": order.reason.preempting_submission(),
             "outcome": format!("{outcome:?}"),
         }));
         self.control
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -22,6 +22,12 @@
     kind: &'static str,
 }
 
+/// Label that carries the reason of a stop order.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 /// Metrics of an entry host.
 #[derive(Debug)]
 pub struct FleetMetrics {
@@ -29,6 +35,7 @@
     answers: Family<KindLabel, Counter>,
     answer_seconds: Histogram,
     orders: Family<KindLabel, Counter>,
+    stops: Family<ReasonLabel, Counter>,
     commits: Family<KindLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
@@ -43,6 +50,7 @@
             answers: Family::default(),
             answer_seconds: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT)),
             orders: Family::default(),
+            stops: Family::default(),
             commits: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
@@ -64,6 +72,7 @@
             self.answer_seconds.clone(),
         );
         registry.register("orders", "Orders to upstreams", self.orders.clone());
+        registry.register("stops", "Stop orders to upstreams", self.stops.clone());
         registry.register("commits", "Commits of progress", self.commits.clone());
         registry.register(
             "active_submissions",
@@ -98,6 +107,11 @@
         self.orders.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a stop order, by reason.
+    pub fn count_stop(&self, reason: &'static str) {
+        self.stops.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a commit, by outcome.
     pub fn count_commit(&self, kind: &'static str) {
         self.commits.get_or_create(&KindLabel { kind }).inc();
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -350,7 +350,11 @@
             match effect {
                 OwnerEffect::Renew(order) => self.push(ONE_WAY_MS, Event::Renew(order, self.now)),
                 OwnerEffect::Start(order) => self.push(ONE_WAY_MS, Event::Start(order)),
-                OwnerEffect::Stop(order) => self.push(ONE_WAY_MS, Event::Stop(order)),
+                OwnerEffect::Stop(order) => {
+                    let reason = order.reason.label();
+                    *self.summary.stop_orders.entry(reason).or_default() += 1;
+                    self.push(ONE_WAY_MS, Event::Stop(order));
+                }
                 OwnerEffect::Commit(batch) => self.push(COMMIT_MS, Event::Commit(epoch, batch)),
                 OwnerEffect::Query(order) => self.query_policy(epoch, &order),
                 OwnerEffect::StepDown => {}
@@ -442,11 +446,14 @@
             return (1, RunOutcome::Failed);
         };
         let kind = &self.settings.mix.kinds[entry.generated.kind];
-        let speed = self
-            .upstreams
-            .get(&order.upstream)
-            .map_or(1.0, |upstream| upstream.speed);
-        let mut duration = entry.generated.work_ms[order.task.step as usize] as f64 / speed;
+        let step = order.task.step as usize;
+        let speed = if entry.generated.record.steps[step].gang {
+            self.slowest_speed(kind.pool)
+        } else {
+            let upstream = self.upstreams.get(&order.upstream);
+            upstream.map_or(1.0, |upstream| upstream.speed)
+        };
+        let mut duration = entry.generated.work_ms[step] as f64 / speed;
         // The random failure depends only on the seed, the task and the attempt, so that scheduler
         // variants can be compared.
         let mut run_random = RandomSource::new(
@@ -465,6 +472,16 @@
         (duration.max(1.0) as u64, end)
     }
 
+    /// Returns the lowest speed in a pool. The members of a gang end together, so they are assumed to
+    /// take as long as they would there.
+    fn slowest_speed(&self, pool: &str) -> f64 {
+        let mut pools = self.settings.mix.pools.iter();
+        let speeds = pools
+            .find(|shape| shape.name == pool)
+            .map_or(&[][..], |shape| shape.speed_factors);
+        speeds.iter().copied().reduce(f64::min).unwrap_or(1.0)
+    }
+
     fn active_fault(&self, upstream: &Arc<str>) -> Option<crate::UpstreamFault> {
         let entry = self.upstreams.get(upstream)?;
         let since = self.now.saturating_sub(LOAD_START_MS);
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -65,6 +65,8 @@
     pub unlisted: bool,
     /// Whether its runs make no progress.
     pub stalled: bool,
+    /// Progress that all its runs report instead of their own, in percent.
+    pub shown_percent: Option<u32>,
     /// Largest amount of resources that its runs have used together.
     pub peak_usage: ResourceSize,
 }
@@ -103,6 +105,7 @@
             draining: false,
             unlisted: false,
             stalled: false,
+            shown_percent: None,
             peak_usage: ResourceSize::ZERO,
         }
     }
@@ -135,6 +138,9 @@
         if self.stalled {
             return 0;
         }
+        if let Some(percent) = self.shown_percent {
+            return percent;
+        }
         let done = (now - run.started_at) * 100 / (run.ends_at - run.started_at).max(1);
         u32::try_from(done.min(100)).expect("at most 100")
     }
--- a/crates/model/src/simulation_summary.rs
+++ b/crates/model/src/simulation_summary.rs
@@ -1,5 +1,6 @@
 //! Results of a simulation.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Results of one kind of submission.
@@ -69,6 +70,8 @@
     pub starts: u64,
     /// Number of runs that were stopped before they were done.
     pub stopped: u64,
+    /// Number of stop orders by reason.
+    pub stop_orders: BTreeMap<&'static str, u64>,
     /// Number of calls to the policy service, and the total time that they took, in milliseconds.
     pub policy_calls: (u64, u64),
     /// Utilization of each pool: the mean, over the load period, of the share in use of its most
--- a/crates/model/src/submission_kind.rs
+++ b/crates/model/src/submission_kind.rs
@@ -63,8 +63,8 @@
     pub work_ms: LogNormal,
     /// Standard deviation of the logarithm of estimates around the real work.
     pub estimate_sigma: f64,
-    /// Whether the tasks of a step have to run at the same time.
-    pub gang: bool,
+    /// Share of submissions in which the tasks of a step have to run at the same time.
+    pub gang_share: f64,
     /// Whether tasks run until their submission is cancelled.
     pub long_running: bool,
     /// Share of submissions whose tasks write checkpoints.
@@ -319,6 +319,71 @@
             ],
         }
     }
+
+    /// Returns the load of a site that sends notices: many short urgent `notice`s, `roll` steps with
+    /// many tasks, and `broadcast` gangs that need room on many upstreams at once.
+    #[must_use]
+    pub fn notice_site() -> Self {
+        Self {
+            name: "notice",
+            pools: vec![PoolShape {
+                name: "sending",
+                upstream_count: 350,
+                capacity: ResourceSize::new(16_000, 65_536, 0),
+                capacity_factors: &[1.0],
+                speed_factors: &[0.8, 1.0, 1.25],
+                rack_size: 20,
+            }],
+            kinds: vec![
+                broadcast_kind(),
+                SubmissionKind {
+                    pool: "sending",
+                    steps: LogNormal(1.5, 0.4, 3.8),
+                    policy_service: PolicyTiming {
+                        decision_ms: 80.0,
+                        per_upstream_ms: 1.1,
+                        valid_ms: 1500,
+                    },
+                    ..ledger_kind(
+                        "roll",
+                        11.2,
+                        2.15,
+                        LogNormal(25.0, 0.8, 150.0),
+                        1600.0,
+                        5800.0,
+                        2200.0,
+                    )
+                },
+                SubmissionKind {
+                    pool: "sending",
+                    steps: LogNormal(1.0, 0.0, 1.0),
+                    tasks_per_step: LogNormal(3.2, 0.8, 19.0),
+                    work_ms: LogNormal(1000.0, 0.5, 2500.0),
+                    gang_share: 0.3,
+                    policy_service: PolicyTiming {
+                        decision_ms: 11.0,
+                        per_upstream_ms: 0.16,
+                        valid_ms: 1500,
+                    },
+                    ..urgent_kind("notice", 80.0, 0.42, 3.2, 2300.0, 6500.0)
+                },
+            ],
+            bursts: vec![
+                Burst {
+                    kind: "notice",
+                    start_ms: 8500,
+                    duration_ms: 4000,
+                    rate_factor: 1.6,
+                },
+                Burst {
+                    kind: "broadcast",
+                    start_ms: 18_000,
+                    duration_ms: 4000,
+                    rate_factor: 1.8,
+                },
+            ],
+        }
+    }
 }
 
 /// Returns a kind with the values that the kinds below share; `value` is that of a submission that
@@ -337,7 +402,7 @@
         accelerator_choices: &[],
         work_ms: LogNormal(1000.0, 0.5, 2500.0),
         estimate_sigma: 0.5,
-        gang: false,
+        gang_share: 0.0,
         long_running: false,
         checkpointing_share: 0.0,
         failing_run_share: 0.01,
@@ -434,7 +499,7 @@
         memory_mib: LogNormal(memory, 0.0, memory),
         accelerator_choices: &[2, 4, 8, 8],
         work_ms: LogNormal(3600.0, 0.5, 9000.0),
-        gang: true,
+        gang_share: 1.0,
         checkpointing_share: 0.9,
         failing_run_share: 0.02,
         max_attempts: 2,
@@ -450,6 +515,33 @@
     }
 }
 
+/// Returns a kind whose tasks run as wide gangs without accelerators.
+fn broadcast_kind() -> SubmissionKind {
+    SubmissionKind {
+        pool: "sending",
+        priority: 1,
+        steps: LogNormal(1.2, 0.4, 3.0),
+        tasks_per_step: LogNormal(20.0, 0.8, 120.0),
+        cpu_milli: LogNormal(4500.0, 0.4, 7600.0),
+        memory_mib: LogNormal(16_000.0, 0.5, 33_000.0),
+        work_ms: LogNormal(6200.0, 0.5, 16_000.0),
+        estimate_sigma: 0.9,
+        gang_share: 1.0,
+        checkpointing_share: 0.5,
+        failing_run_share: 0.001,
+        failing_submission_share: 0.03,
+        stretch: 2.2,
+        objective_ms: 1000,
+        policy_service: PolicyTiming {
+            decision_ms: 600.0,
+            per_upstream_ms: 8.6,
+            valid_ms: 1500,
+        },
+        allowed_share: 0.25,
+        ..base_kind("broadcast", 3.12, 12.4)
+    }
+}
+
 /// Returns a kind of long-running submissions. `mean_tasks` is the mean number of tasks per step;
 /// `cpu` (thousandths of a core) and `memory` (mebibytes) are means per task.
 fn long_running_kind(
@@ -563,6 +655,7 @@
     ) -> GeneratedSubmission {
         let count = self.steps.sample_count(source) as u32;
         let checkpointing = source.happens(self.checkpointing_share);
+        let gang = source.happens(self.gang_share);
         let mut steps = Vec::new();
         let mut work_ms = Vec::new();
         for step in 0..count {
@@ -572,8 +665,8 @@
                 length => self.accelerator_choices[source.below(length) as usize],
             };
             let mut tasks = self.tasks_per_step.sample_count(source);
-            if self.gang {
-                tasks = tasks.min((MAX_GANG_ACCELERATORS / accelerators.max(1)).max(1));
+            if gang && accelerators > 0 {
+                tasks = tasks.min((MAX_GANG_ACCELERATORS / accelerators).max(1));
             }
             steps.push(StepSpec {
                 count: tasks as u32,
@@ -589,7 +682,7 @@
                     vec![step - 1]
                 },
                 checkpointing,
-                gang: self.gang,
+                gang,
                 long_running: self.long_running,
                 ..StepSpec::default()
             });
