Do not take gang members that wait for slower ones for stalled

A member on a fast upstream shows no progress while it waits for the members on slow ones; after 1.2 to 2.5 s it counted as stalled, its gang was stopped and its upstream quarantined. Seen in the log by the attempts: each ran up to 10 s and was stopped for a member that was ahead.

Change: a member counts as stalled only if no other one is behind it, or level with it and advanced later. Test fails without it.

--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -62,6 +62,21 @@
             && !spec.best_effort
             && run.confirmed_at.is_some_and(|at| at > 0)
             && now.saturating_sub(run.percent_since) > max_stall_ms
+            && !(spec.gang && self.waits_for_gang(name, run))
+    }
+
+    /// Returns whether another member of the task's gang has made less progress, or as little but
+    /// recently. Members on fast upstreams stop advancing while they wait for the slower ones.
+    fn waits_for_gang(&self, name: &TaskName, run: &RunEntry) -> bool {
+        let members = self.gang_runs(name);
+        members.iter().any(|(member, upstream)| {
+            let entry = self.upstreams.get(upstream);
+            let other = entry.and_then(|entry| entry.runs.get(member));
+            other.is_some_and(|other| {
+                other.percent < run.percent
+                    || (other.percent == run.percent && other.percent_since > run.percent_since)
+            })
+        })
     }
 
     /// Updates the slowdown of an upstream and of the fleet from a finished run.
--- a/crates/fleet/tests/fleet/gangs.rs
+++ b/crates/fleet/tests/fleet/gangs.rs
@@ -36,6 +36,32 @@
     );
 }
 
+/// Guards against stopping a gang because its members on fast upstreams no longer advance while
+/// they wait for the slower ones.
+#[test]
+fn members_that_wait_for_slower_ones_are_not_stalled() {
+    let policy = queue("broadcast", 1);
+    let mut simulation =
+        FleetSimulation::new(12, config(vec![policy.clone()], ResourceSize::ZERO), 2);
+    simulation.run_ms = Some(8000);
+    simulation
+        .upstreams
+        .get_mut("u0")
+        .expect("the upstream exists")
+        .shown_percent = Some(99);
+    simulation.take_over();
+    let spread = StepSpec {
+        max_per_upstream: 1,
+        ..gang(2)
+    };
+
+    simulation.submit(&submission("g1", &policy, vec![spread]));
+    simulation.run_until(simulation.now + 9000);
+
+    assert_eq!(simulation.state_of("g1"), Some(SubmissionState::Completed));
+    assert_eq!(simulation.stopped, Vec::new());
+}
+
 /// Guards against a stop order for each member of a gang that has just completed: the members end
 /// together, by themselves.
 #[test]
