Examine only the upstreams that are due in a tick

Ruled out: logs and commits as the main cost.

Change: renewals and stops wait in queues by due time; silence and expired leases are searched every 25 ms; acknowledgements visit only upstreams with unstored ends; runs are counted as they change; query hosts are refreshed every 200 ms; ticks are at least 2 ms apart and share a timer.

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -44,7 +44,7 @@
         let sent_before_last_reply = entry.clock.is_some_and(|clock| sent_at < clock.received_at);
         // The list is older than the last one that was processed.
         if sent_before_last_reply && !restarted && entry.run_list_incarnation.is_some() {
-            entry.next_renewal_at = now;
+            entry.schedule_renewal(now, &mut self.renewal_queue);
             return;
         }
         if restarted {
@@ -84,7 +84,7 @@
         } else {
             0
         };
-        entry.next_renewal_at = now + delay_ms;
+        entry.schedule_renewal(now + delay_ms, &mut self.renewal_queue);
     }
 
     /// Handles a renewal without a usable reply.
@@ -93,7 +93,7 @@
         const FAILED_RENEWAL_DELAY_MS: u64 = 300;
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.renewal_in_flight = false;
-            entry.next_renewal_at = now + FAILED_RENEWAL_DELAY_MS;
+            entry.schedule_renewal(now + FAILED_RENEWAL_DELAY_MS, &mut self.renewal_queue);
         }
     }
 
@@ -114,7 +114,7 @@
             return;
         };
         entry.renewal_in_flight = false;
-        entry.next_renewal_at = now;
+        entry.schedule_renewal(now, &mut self.renewal_queue);
     }
 
     /// Handles the end of an upstream's incarnation: none of its runs exist any more.
@@ -126,7 +126,8 @@
             entry.renewal_in_flight = false;
             entry.run_list_incarnation = None;
             entry.leases_expire_at = 0;
-            entry.next_renewal_at = now + self.settings.idle_renewal_interval_ms;
+            let at = now + self.settings.idle_renewal_interval_ms;
+            entry.schedule_renewal(at, &mut self.renewal_queue);
         }
     }
 
@@ -181,6 +182,7 @@
             let sequence = self.process_finished_run(now, upstream, finished);
             if let Some(entry) = self.upstreams.get_mut(upstream) {
                 entry.uncommitted.push_back((finished.number, sequence));
+                self.uncommitted_upstreams.insert(upstream.clone());
             }
         }
         any
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -8,6 +8,7 @@
 //! 1970.
 
 mod commit_queue;
+mod due_queue;
 mod effect;
 mod fleet_view;
 mod gang_placement;
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -39,7 +39,7 @@
                     run.phase = RunPhase::Running;
                 }
                 if let Some(entry) = self.upstreams.get_mut(&upstream) {
-                    entry.next_renewal_at = entry.next_renewal_at.min(now);
+                    entry.hasten_renewal(now, &mut self.renewal_queue);
                     entry.answered_at = entry.answered_at.max(now);
                 }
                 self.mark_started(&order.task.submission);
@@ -78,7 +78,7 @@
         let Some(entry) = self.upstreams.get_mut(&order.upstream) else {
             return;
         };
-        entry.next_renewal_at = now;
+        entry.schedule_renewal(now, &mut self.renewal_queue);
         let not_responsive = entry.contact != ContactState::Responsive;
         let Some(run) = entry.runs.get_mut(&order.task) else {
             return;
@@ -107,7 +107,7 @@
             run.phase = RunPhase::Unconfirmed;
             run.stop_reason = Some(StopReason::StartUnconfirmed);
             run.stop_due_at = now;
-            entry.stops_pending = true;
+            self.stop_queue.push(now, &order.upstream);
         }
     }
 
@@ -122,7 +122,7 @@
         let Some(entry) = self.upstreams.get_mut(&order.upstream) else {
             return;
         };
-        entry.next_renewal_at = now;
+        entry.schedule_renewal(now, &mut self.renewal_queue);
         match reason {
             None => entry.backoff_until = now + UNHEALTHY_BACKOFF_MS,
             Some(RejectReason::NoRoom) => entry.backoff_until = now + NO_CAPACITY_BACKOFF_MS,
@@ -194,7 +194,7 @@
                 let Some(entry) = self.upstreams.get_mut(&order.upstream) else {
                     return;
                 };
-                entry.next_renewal_at = now;
+                entry.schedule_renewal(now, &mut self.renewal_queue);
                 if let Some(run) = entry.runs.get_mut(&order.task)
                     && run.attempt == order.attempt
                 {
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -8,6 +8,7 @@
     UpstreamReport,
 };
 use crate::owner::commit_queue::CommitQueue;
+use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::UpstreamIndex;
 use crate::owner::query_dispatcher::QueryDispatcher;
 use crate::owner::ready_list::ReadyList;
@@ -34,6 +35,16 @@
     /// Submissions without a final state, ordered by identifier.
     pub(super) active: BTreeSet<Arc<str>>,
     pub(super) upstreams: BTreeMap<Arc<str>, UpstreamEntry>,
+    /// Upstreams by the time of their next renewal.
+    pub(super) renewal_queue: DueQueue,
+    /// Upstreams by the time of their next stop order.
+    pub(super) stop_queue: DueQueue,
+    /// Upstreams with finished runs that are not stored yet.
+    pub(super) uncommitted_upstreams: BTreeSet<Arc<str>>,
+    /// Time of the next search for silent upstreams and expired leases.
+    pub(super) next_sweep_at: u64,
+    /// Number of allocated runs on all upstreams.
+    pub(super) run_count: usize,
     /// Resources in use by each team; equals the sum over all runs.
     pub(super) team_usage: HashMap<Arc<str>, ResourceSize>,
     pub(super) ready: ReadyList,
@@ -88,6 +99,11 @@
             submissions: HashMap::new(),
             active: BTreeSet::new(),
             upstreams: BTreeMap::new(),
+            renewal_queue: DueQueue::default(),
+            stop_queue: DueQueue::default(),
+            uncommitted_upstreams: BTreeSet::new(),
+            next_sweep_at: 0,
+            run_count: 0,
             team_usage: HashMap::new(),
             ready: ReadyList::default(),
             claims: ClaimTable::default(),
@@ -175,12 +191,12 @@
             }
             entry.report = report;
             if restarted {
-                entry.next_renewal_at = now;
+                entry.schedule_renewal(now, &mut self.renewal_queue);
             }
             return;
         }
         let mut entry = UpstreamEntry::new(self.next_index(), report);
-        entry.next_renewal_at = now;
+        entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.reported_at = now;
         self.upstreams.insert(id, entry);
         self.roster_changed = true;
@@ -239,8 +255,7 @@
     /// Returns the number of submissions without a final state, and the number of allocated runs.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
-        let runs = self.upstreams.values().map(|entry| entry.runs.len()).sum();
-        (self.active.len(), runs)
+        (self.active.len(), self.run_count)
     }
 
     /// Returns whether the owner has stepped down because another host replaced it.
@@ -295,6 +310,7 @@
         if entry.runs.insert(name.clone(), run).is_some() {
             return;
         }
+        self.run_count += 1;
         if let Some(task) = self.task_mut(name) {
             task.allocated_runs += 1;
         }
@@ -312,6 +328,7 @@
         name: &TaskName,
     ) -> Option<RunEntry> {
         let run = self.upstreams.get_mut(upstream)?.runs.remove(name)?;
+        self.run_count -= 1;
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.allocated = entry.allocated.saturating_sub(&run.allocation);
         }
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -103,7 +103,7 @@
         );
         entry.in_directory = false;
         entry.in_stored_roster = true;
-        entry.next_renewal_at = now;
+        entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.leases_expire_at = self.recovery_ends_at;
         if let Some(leases_expire_unix_ms) = roster_entry.leases_expire_unix_ms {
             let remaining = leases_expire_unix_ms.saturating_sub(unix_ms) + HOST_CLOCK_MARGIN_MS;
--- a/crates/fleet/src/owner/submission_end.rs
+++ b/crates/fleet/src/owner/submission_end.rs
@@ -54,7 +54,7 @@
                     RunPhase::Stopping => continue,
                     _ => {}
                 }
-                entry.stops_pending = true;
+                self.stop_queue.push(now, upstream);
                 run.phase = RunPhase::Stopping;
                 run.stop_reason = Some(StopReason::SubmissionEnded);
                 run.stop_due_at = now;
@@ -90,7 +90,7 @@
                 run.phase = RunPhase::Stopping;
                 run.stop_reason = Some(reason);
                 run.stop_due_at = stop_at;
-                entry.stops_pending = true;
+                self.stop_queue.push(stop_at, upstream);
             }
         }
     }
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -12,16 +12,14 @@
     RosterEntry, StopOrder, StopReason,
 };
 
-/// Additional delay of a renewal while finished runs are not stored yet, in milliseconds. They
-/// cannot be acknowledged before, and the upstream replies at once as long as it lists
-/// unacknowledged finished runs.
-const COMMIT_WAIT_MS: u64 = 250;
-
 /// Number of upstreams per millisecond of the minimum interval between placement passes. A pass
 /// takes longer with more upstreams, so larger fleets run it less often; runs that finish in
 /// between share one pass.
 const UPSTREAMS_PER_INTERVAL_MS: u64 = 25;
 
+/// Time between two searches for silent upstreams and expired leases, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 25;
+
 /// Time without an answer after which an upstream is recorded as silent, in milliseconds.
 const SILENCE_TIMEOUT_MS: u64 = 1600;
 
@@ -38,8 +36,11 @@
             return;
         }
         self.unix_ms = unix_ms;
-        self.expire_leases(now);
-        self.update_contact_states(now);
+        if now >= self.next_sweep_at {
+            self.next_sweep_at = now + SWEEP_INTERVAL_MS;
+            self.expire_leases(now);
+            self.update_contact_states(now);
+        }
         if may_act {
             self.send_renewals(now);
             self.send_stops(now);
@@ -62,10 +63,8 @@
         /// Maximum time between two ticks, in milliseconds.
         const MAX_TICK_INTERVAL_MS: u64 = 250;
         let mut due = now + MAX_TICK_INTERVAL_MS;
-        for entry in self.upstreams.values() {
-            if !entry.renewal_in_flight {
-                due = due.min(entry.next_renewal_at);
-            }
+        for next in [self.renewal_queue.next_at(), self.stop_queue.next_at()] {
+            due = due.min(next.unwrap_or(due));
         }
         if self.placement_pending {
             due = due.min(self.next_placement_at);
@@ -154,10 +153,12 @@
 
     fn send_renewals(&mut self, now: u64) {
         let settings = self.settings;
-        for (id, entry) in &mut self.upstreams {
-            let uncommitted = !entry.uncommitted.is_empty();
-            let commit_wait_ms = if uncommitted { COMMIT_WAIT_MS } else { 0 };
-            if entry.renewal_in_flight || now < entry.next_renewal_at + commit_wait_ms {
+        while let Some((at, id)) = self.renewal_queue.pop_due(now) {
+            let entry = self.upstreams.get_mut(&id);
+            let Some(entry) = entry else {
+                continue;
+            };
+            if !entry.take_queued_renewal(at) {
                 continue;
             }
             let busy = !entry.runs.is_empty();
@@ -189,29 +190,33 @@
     }
 
     fn send_stops(&mut self, now: u64) {
-        for (id, entry) in &mut self.upstreams {
-            if !std::mem::take(&mut entry.stops_pending) {
+        while let Some((_, id)) = self.stop_queue.pop_due(now) {
+            let Some(entry) = self.upstreams.get_mut(&id) else {
                 continue;
-            }
+            };
+            let mut next_due_at = None;
             for (name, run) in &mut entry.runs {
                 let wanted = matches!(run.phase, RunPhase::Stopping | RunPhase::Unconfirmed);
                 if !wanted || run.stop_accepted_at.is_some() {
                     continue;
                 }
-                entry.stops_pending = true;
-                if now < run.stop_due_at {
-                    continue;
+                if now >= run.stop_due_at {
+                    run.stop_due_at = now + self.settings.stop_retry_interval_ms;
+                    let reason = run.stop_reason.clone();
+                    self.effects.push(OwnerEffect::Stop(StopOrder {
+                        reason: reason.unwrap_or(StopReason::StartUnconfirmed),
+                        task: name.clone(),
+                        attempt: run.attempt,
+                        upstream: id.clone(),
+                        address: entry.report.address.clone(),
+                        epoch: self.epoch,
+                    }));
+                    next_due_at = next_due_at.max(Some(run.stop_due_at));
                 }
-                run.stop_due_at = now + self.settings.stop_retry_interval_ms;
-                let reason = run.stop_reason.clone();
-                self.effects.push(OwnerEffect::Stop(StopOrder {
-                    reason: reason.unwrap_or(StopReason::StartUnconfirmed),
-                    task: name.clone(),
-                    attempt: run.attempt,
-                    upstream: id.clone(),
-                    address: entry.report.address.clone(),
-                    epoch: self.epoch,
-                }));
+            }
+            // Stop orders that are due earlier have queue entries of their own.
+            if let Some(at) = next_due_at {
+                self.stop_queue.push(at, &id);
             }
         }
     }
@@ -380,14 +385,25 @@
                         entry.in_stored_roster = true;
                     }
                 }
-                let sequence = self.commits.stored_sequence();
-                for entry in self.upstreams.values_mut() {
-                    entry.acknowledge(sequence);
-                }
+                self.acknowledge_stored();
             }
         }
     }
 
+    /// Acknowledges the finished runs whose changes are stored.
+    fn acknowledge_stored(&mut self) {
+        let sequence = self.commits.stored_sequence();
+        let (upstreams, queue) = (&mut self.upstreams, &mut self.renewal_queue);
+        self.uncommitted_upstreams.retain(|id| {
+            let Some(entry) = upstreams.get_mut(id) else {
+                return false;
+            };
+            entry.acknowledge(sequence);
+            entry.queue_renewal(queue);
+            !entry.uncommitted.is_empty()
+        });
+    }
+
     fn mark_stored(&mut self, now: u64, id: &Arc<str>, batch: &CommitBatch) {
         let written = batch.progress.iter().find(|(written, _)| written == id);
         let Some((entry, (_, progress))) = self.submissions.get_mut(id).zip(written) else {
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -5,12 +5,18 @@
 
 use crate::model::{ResourceSize, TaskName, UpstreamReport};
 use crate::owner::StopReason;
+use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::UpstreamIndex;
 
 /// Factor from a duration on an upstream's clock to the longest possible duration on the owner's
 /// clock, in thousandths: the upstream's clock may run 2 % slow (1000 / 980, rounded up).
 const SLOW_CLOCK_FACTOR_PER_MILLE: u64 = 1021;
 
+/// Additional delay of a renewal while finished runs are not stored yet, in milliseconds. They
+/// cannot be acknowledged before, and the upstream replies at once as long as it lists
+/// unacknowledged finished runs.
+const COMMIT_WAIT_MS: u64 = 250;
+
 /// Margin added to a computed lease expiry, in milliseconds.
 const EXPIRY_MARGIN_MS: u64 = 50;
 
@@ -132,10 +138,12 @@
     /// Finished runs that are not stored yet: their number, and the sequence number of their
     /// change.
     pub uncommitted: VecDeque<(u64, u64)>,
-    /// Whether a run may need a stop order; upstreams without one are skipped.
-    pub stops_pending: bool,
     pub renewal_in_flight: bool,
-    pub next_renewal_at: u64,
+    /// Earliest time of the next renewal, if all finished runs are stored by then.
+    next_renewal_at: u64,
+    /// Time for which the next renewal is queued; `None` if it is not queued. Other entries of the
+    /// upstream in the queue are outdated.
+    renewal_queued_at: Option<u64>,
     /// Time of the last reply to a renewal, or of the last confirmed start; 0 if this owner has had
     /// none.
     pub answered_at: u64,
@@ -173,9 +181,9 @@
             last_finished_number: 0,
             ack_number: 0,
             uncommitted: VecDeque::new(),
-            stops_pending: false,
             renewal_in_flight: false,
             next_renewal_at: 0,
+            renewal_queued_at: None,
             answered_at: 0,
             failed_submissions: Vec::new(),
             slowdown: 0.0,
@@ -234,6 +242,40 @@
             && now.saturating_sub(self.answered_at) <= max_contact_age_ms
     }
 
+    /// Sets the earliest time of the next renewal.
+    pub fn schedule_renewal(&mut self, at: u64, queue: &mut DueQueue) {
+        self.next_renewal_at = at;
+        self.queue_renewal(queue);
+    }
+
+    /// Moves the next renewal forward to a time, unless it is due earlier.
+    pub fn hasten_renewal(&mut self, at: u64, queue: &mut DueQueue) {
+        self.schedule_renewal(self.next_renewal_at.min(at), queue);
+    }
+
+    /// Queues the next renewal for the time at which it is due, unless one is in flight.
+    pub fn queue_renewal(&mut self, queue: &mut DueQueue) {
+        let wait_ms = if self.uncommitted.is_empty() {
+            0
+        } else {
+            COMMIT_WAIT_MS
+        };
+        let due_at = self.next_renewal_at + wait_ms;
+        if !self.renewal_in_flight && self.renewal_queued_at != Some(due_at) {
+            self.renewal_queued_at = Some(due_at);
+            queue.push(due_at, &self.report.id);
+        }
+    }
+
+    /// Takes the renewal that was queued for a time; returns false if the queue entry is outdated.
+    pub fn take_queued_renewal(&mut self, at: u64) -> bool {
+        if self.renewal_in_flight || self.renewal_queued_at != Some(at) {
+            return false;
+        }
+        self.renewal_queued_at = None;
+        true
+    }
+
     /// Returns whether any of the runs is urgent.
     pub fn has_urgent_runs(&self) -> bool {
         self.runs.values().any(|run| run.urgent)
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -25,6 +25,12 @@
 /// in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 1500;
 
+/// Minimum time between two ticks, in milliseconds. Inputs that arrive in between share one tick.
+const MIN_TICK_INTERVAL_MS: u64 = 2;
+
+/// Time between two updates of the hosts that may query the policy service, in milliseconds.
+const QUERY_HOST_UPDATE_MS: u64 = 200;
+
 /// State of this host's ownership.
 struct ActiveOwnership {
     machine: OwnerMachine,
@@ -57,7 +63,11 @@
     /// Hosts that have sent a heartbeat while they accepted policy queries, by name.
     peers: BTreeMap<Arc<str>, PeerEntry>,
     tick_requested: bool,
-    timer: Option<JoinHandle<()>>,
+    last_tick_at: u64,
+    /// When the hosts that may query the policy service were last updated.
+    query_hosts_set_at: u64,
+    /// Time for which the next tick is scheduled, and the task that waits for it.
+    timer: Option<(u64, JoinHandle<()>)>,
 }
 
 impl ControlActor {
@@ -91,30 +101,45 @@
             highest_successor_epoch: 0,
             peers: BTreeMap::new(),
             tick_requested: false,
+            last_tick_at: 0,
+            query_hosts_set_at: 0,
             timer: None,
         };
         tokio::spawn(xtra::run(mailbox, actor));
         handle
     }
 
-    /// Schedules a tick that runs after the messages that are already queued.
+    /// Schedules a tick that runs after the messages that are already queued, or later if the last
+    /// one was a moment ago.
     async fn request_tick(&mut self) {
         if self.tick_requested {
             return;
         }
+        let due_at = self.last_tick_at + MIN_TICK_INTERVAL_MS;
+        let now = now_ms();
+        if now < due_at {
+            self.set_timer(now, due_at);
+            return;
+        }
         self.tick_requested = true;
         let _ = self.address.send(TickMessage).detach().await;
     }
 
-    fn tick(&mut self) {
-        let (now, unix) = (now_ms(), unix_ms());
-        let mut hosts: BTreeSet<_> = self
+    /// Returns the hosts that may query the policy service.
+    fn query_hosts(&self, now: u64) -> BTreeSet<Arc<str>> {
+        let recent = self
             .peers
             .iter()
             .filter(|(_, peer)| now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS)
-            .map(|(host, _)| host.clone())
-            .collect();
-        hosts.insert(self.host.clone());
+            .map(|(host, _)| host.clone());
+        recent.chain([self.host.clone()]).collect()
+    }
+
+    fn tick(&mut self) {
+        let (now, unix) = (now_ms(), unix_ms());
+        self.last_tick_at = now;
+        let outdated = now >= self.query_hosts_set_at + QUERY_HOST_UPDATE_MS;
+        let query_hosts = outdated.then(|| self.query_hosts(now));
         let Some(ownership) = &mut self.ownership else {
             return;
         };
@@ -123,7 +148,10 @@
             FleetEvent::StartsSuspended.emit(json!({"epoch": ownership.machine.epoch()}));
         }
         ownership.suspended = !may_act;
-        ownership.machine.set_query_hosts(&hosts);
+        if let Some(hosts) = query_hosts {
+            self.query_hosts_set_at = now;
+            ownership.machine.set_query_hosts(&hosts);
+        }
         ownership.machine.tick(now, unix, may_act);
         let valid_until = ownership.valid_until;
         let epoch = ownership.machine.epoch();
@@ -138,18 +166,24 @@
             self.end_ownership("another host used a higher epoch");
             return;
         }
-        self.set_timer(due.saturating_sub(now).max(1));
+        self.set_timer(now, due.max(now + MIN_TICK_INTERVAL_MS));
     }
 
-    fn set_timer(&mut self, delay_ms: u64) {
-        if let Some(timer) = self.timer.take() {
+    /// Schedules a tick, unless an earlier one is scheduled.
+    fn set_timer(&mut self, now: u64, due_at: u64) {
+        if let Some((scheduled_at, timer)) = &self.timer {
+            if now <= *scheduled_at && *scheduled_at <= due_at {
+                return;
+            }
             timer.abort();
         }
+        let delay = Duration::from_millis(due_at.saturating_sub(now));
         let address = self.address.clone();
-        self.timer = Some(tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
             let _ = address.send(TickMessage).detach().await;
-        }));
+        });
+        self.timer = Some((due_at, timer));
     }
 
     fn end_ownership(&mut self, reason: &str) {
@@ -178,6 +212,7 @@
             "roster": grant.recovered.roster.len(),
         }));
         machine.recover(now_ms(), unix_ms(), grant.recovered);
+        self.query_hosts_set_at = 0;
         self.metrics.set_epoch(grant.epoch);
         self.view.set_owned_epoch(Some(grant.epoch));
         self.ownership = Some(ActiveOwnership {
@@ -289,6 +324,13 @@
 
     async fn handle(&mut self, _: TickMessage, _: &mut Context<Self>) {
         self.tick_requested = false;
+        if self
+            .timer
+            .as_ref()
+            .is_some_and(|(_, timer)| timer.is_finished())
+        {
+            self.timer = None;
+        }
         self.tick();
     }
 }
