Replace a silent owner only if the store shows no progress of it, and send small heartbeats

Heartbeats themselves were a large load: each of 147 hosts got the list of all peers (about 3 KB) 2.5 times a second, and for each the control actor built that list and counted all active submissions for a reply that nobody used.

Replies carry the peers only if the caller's digest differs; hosts with much less processor send a heartbeat every 800 ms.

--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -49,6 +49,8 @@
     pub stale_cancels: Vec<Arc<str>>,
     /// The upstreams that may hold leases; `None` if they have not changed.
     pub roster: Option<Vec<RosterEntry>>,
+    /// Whether the commit is written even if it is empty, to show that the owner works.
+    pub shows_progress: bool,
 }
 
 impl CommitBatch {
@@ -60,6 +62,7 @@
             && self.expired_results.is_empty()
             && self.stale_cancels.is_empty()
             && self.roster.is_none()
+            && !self.shows_progress
     }
 }
 
--- a/crates/fleet/src/owner/gang_placement.rs
+++ b/crates/fleet/src/owner/gang_placement.rs
@@ -192,7 +192,7 @@
         if queried.is_empty() || (!full_too && expected < as_f64(missing)) {
             return false;
         }
-        self.query_in_parallel(now, ready, queried);
+        self.query_in_parallel(now, ready, &queried);
         true
     }
 
@@ -287,7 +287,7 @@
                 .filter_map(|(index, _)| Some(view.upstream(&claim.pool, *index)?.id.clone()))
                 .collect();
             if !renewed.is_empty() {
-                self.query_in_parallel(now, ready, renewed);
+                self.query_in_parallel(now, ready, &renewed);
             }
         }
         self.claims.insert(StepKey::from(ready), claim);
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -20,6 +20,9 @@
     pub max_contact_age_ms: u64,
     /// Minimum interval between two commits that are not urgent, in milliseconds.
     pub commit_interval_ms: u64,
+    /// Maximum interval between two commits, in milliseconds. The other hosts take a silent owner
+    /// that commits for busy, not for lost.
+    pub progress_interval_ms: u64,
     /// Interval between two stop orders for the same run, in milliseconds.
     pub stop_retry_interval_ms: u64,
     /// How long final states are kept, in milliseconds.
@@ -41,6 +44,7 @@
             batch_renewal_delay_ms: 120,
             max_contact_age_ms: 3500,
             commit_interval_ms: 60,
+            progress_interval_ms: 300,
             stop_retry_interval_ms: 400,
             final_state_retention_ms: 150_000,
             report_interval_ms: 1500,
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -88,7 +88,7 @@
         &mut self,
         now: u64,
         ready: &ReadyStep,
-        upstreams: Vec<Arc<str>>,
+        upstreams: &[Arc<str>],
     ) {
         let Some(service) = ready.queue.policy_service else {
             return;
@@ -299,19 +299,17 @@
         let mut undecided = 0;
         let mut newly_allowed = 0;
         for (id, index) in indexes {
-            match decision.allowed.iter().find(|(allowed, _)| allowed == id) {
-                Some((_, ticket)) => {
-                    let ticket = ticket.clone();
-                    let entry = TicketEntry { ticket, expires_at };
-                    if step.tickets.insert(index, entry).is_none() {
-                        undecided += 1;
-                        newly_allowed += 1;
-                    }
-                }
-                None => {
-                    undecided += 1;
-                    step.denied.insert(index);
-                }
+            let allowed = decision.allowed.iter().find(|(allowed, _)| allowed == id);
+            let Some((_, ticket)) = allowed else {
+                undecided += 1;
+                step.denied.insert(index);
+                continue;
+            };
+            let ticket = ticket.clone();
+            let entry = TicketEntry { ticket, expires_at };
+            if step.tickets.insert(index, entry).is_none() {
+                undecided += 1;
+                newly_allowed += 1;
             }
         }
         if decision.allowed.is_empty() {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -281,15 +281,17 @@
                 && (!self.expired_results.is_empty()
                     || !self.stale_cancels.is_empty()
                     || self.roster_changed);
-            let wanted = extra || !self.commits.is_empty();
+            let silent_until = self.commits.last_sent_at() + self.settings.progress_interval_ms;
+            let shows_progress = lane == 0 && now >= silent_until;
+            let wanted = extra || shows_progress || !self.commits.is_empty();
             if wanted && (self.commits.commit_at_once || spaced) {
-                self.send_commit(now, lane);
+                self.send_commit(now, lane, shows_progress);
             }
         }
     }
 
     /// Sends a commit in a lane if there is anything to write.
-    fn send_commit(&mut self, now: u64, lane: usize) {
+    fn send_commit(&mut self, now: u64, lane: usize, shows_progress: bool) {
         let submissions = &self.submissions;
         let ids = self.commits.take(
             now,
@@ -306,6 +308,7 @@
         );
         let mut batch = CommitBatch {
             lane,
+            shows_progress,
             ..CommitBatch::default()
         };
         let mut remaining = MAX_COMMIT_ENTRIES;
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -109,10 +109,6 @@
 
 /// An upstream and its runs.
 #[derive(Clone, Debug)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "independent facts, not a state"
-)]
 pub(super) struct UpstreamEntry {
     pub index: UpstreamIndex,
     pub report: UpstreamReport,
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -11,19 +11,19 @@
 
 use crate::clock::{now_ms, unix_ms};
 use crate::control::control_messages::{
-    CancelledMessage, ControlInput, HeartbeatMessage, LookupMessage, OwnershipGrant,
-    StepDownMessage, SubmittedMessage, TickMessage,
+    CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, OwnershipGrant,
+    PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage,
 };
 use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
 use crate::control::{ControlHandle, HostView};
 use crate::event::FleetEvent;
 use crate::metrics::FleetMetrics;
-use crate::peer::{HeartbeatReply, PeerClients, PeerInfo, SubmissionLookup};
+use crate::peer::{HeartbeatReply, HeartbeatRequest, PeerClients, PeerInfo, SubmissionLookup};
 use crate::ports::{PlatformPorts, RenewOutcome};
 
 /// Time without a heartbeat after which a host gets no policy queries and is not listed as a peer,
 /// in milliseconds.
-const PEER_TIMEOUT_MS: u64 = 1500;
+const PEER_TIMEOUT_MS: u64 = 2000;
 
 /// Minimum time between two ticks, in milliseconds. Inputs that arrive in between share one tick.
 const MIN_TICK_INTERVAL_MS: u64 = 2;
@@ -335,11 +335,9 @@
     }
 }
 
-impl Handler<HeartbeatMessage> for ControlActor {
-    type Return = HeartbeatReply;
-
-    async fn handle(&mut self, message: HeartbeatMessage, _: &mut Context<Self>) -> HeartbeatReply {
-        let HeartbeatMessage(request) = message;
+impl ControlActor {
+    /// Records that a host has sent a heartbeat.
+    fn record_heartbeat(&mut self, request: HeartbeatRequest) {
         if request.accepts_work {
             let peer = PeerEntry {
                 info: PeerInfo {
@@ -350,6 +348,26 @@
             };
             self.peers.insert(request.host, peer);
         }
+    }
+}
+
+impl Handler<PeerHeartbeatMessage> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PeerHeartbeatMessage, _: &mut Context<Self>) {
+        self.record_heartbeat(message.0);
+    }
+}
+
+impl Handler<OwnHeartbeatMessage> for ControlActor {
+    type Return = HeartbeatReply;
+
+    async fn handle(
+        &mut self,
+        message: OwnHeartbeatMessage,
+        _: &mut Context<Self>,
+    ) -> HeartbeatReply {
+        self.record_heartbeat(message.0);
         let machine = self.ownership.as_ref().map(|ownership| &ownership.machine);
         let now = now_ms();
         let peers = self
@@ -359,7 +377,7 @@
             .map(|peer| peer.info.clone())
             .collect();
         HeartbeatReply {
-            peers,
+            peers: Some(peers),
             epoch: machine.map(OwnerMachine::epoch),
             store_response_age_ms: self.view.store_response_age_ms(),
             config: None,
--- a/crates/host/src/control/control_handle.rs
+++ b/crates/host/src/control/control_handle.rs
@@ -5,8 +5,8 @@
 use xtra::Address;
 
 use crate::control::control_messages::{
-    CancelledMessage, ControlInput, HeartbeatMessage, LookupMessage, STOPPED_LOOKUP,
-    StepDownMessage, SubmittedMessage, stopped_reply,
+    CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, PeerHeartbeatMessage,
+    STOPPED_LOOKUP, StepDownMessage, SubmittedMessage, stopped_reply,
 };
 use crate::control::{AcceptedSubmission, ControlActor};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, NewSubmission, SubmissionLookup};
@@ -31,18 +31,18 @@
         }
     }
 
-    /// Delivers a heartbeat and returns the control actor's reply.
-    pub async fn heartbeat(&self, request: HeartbeatRequest) -> HeartbeatReply {
-        let reply = self.address.send(HeartbeatMessage(request)).await;
+    /// Delivers this host's own heartbeat and returns the control actor's reply.
+    pub async fn own_heartbeat(&self, request: HeartbeatRequest) -> HeartbeatReply {
+        let reply = self.address.send(OwnHeartbeatMessage(request)).await;
         reply.unwrap_or_else(|_| stopped_reply())
     }
 
-    /// Queues a heartbeat without waiting until it is processed; the reply is
+    /// Queues the heartbeat of another host without waiting until it is processed; the reply is
     /// [`HostView::heartbeat_reply`](crate::control::HostView::heartbeat_reply).
     pub async fn notify_heartbeat(&self, request: HeartbeatRequest) {
         if self
             .address
-            .send(HeartbeatMessage(request))
+            .send(PeerHeartbeatMessage(request))
             .detach()
             .await
             .is_err()
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -74,8 +74,11 @@
 /// Makes the actor do the work that is due.
 pub(super) struct TickMessage;
 
-/// Delivers a heartbeat.
-pub(super) struct HeartbeatMessage(pub HeartbeatRequest);
+/// Delivers the heartbeat of another host.
+pub(super) struct PeerHeartbeatMessage(pub HeartbeatRequest);
+
+/// Delivers this host's own heartbeat; the reply is that of the owner if the host is the owner.
+pub(super) struct OwnHeartbeatMessage(pub HeartbeatRequest);
 
 /// Ends the host's ownership if its epoch is lower than this one; replies true afterwards.
 pub(super) struct StepDownMessage(pub u64);
@@ -97,7 +100,7 @@
         store_response_age_ms: u64::MAX,
         config: None,
         waiting_counts: std::collections::HashMap::new(),
-        peers: Vec::new(),
+        peers: None,
     }
 }
 
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -1,6 +1,7 @@
 //! State shared by the components of a host.
 
 use std::collections::{BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use lagoonnotch_fleet::model::ApprovedConfig;
@@ -50,6 +51,8 @@
     /// Hosts that recently sent a heartbeat to the owner and are not stopping, including this one,
     /// as last reported by the owner.
     peers: Vec<PeerInfo>,
+    /// Digest of `peers`.
+    peers_digest: u64,
     stopping: bool,
     /// Epoch of this host's ownership, once it has recovered.
     owned_epoch: Option<u64>,
@@ -191,7 +194,17 @@
 
     /// Sets the hosts that the owner lists.
     pub fn set_peers(&self, peers: Vec<PeerInfo>) {
-        self.lock().peers = peers;
+        let mut hasher = DefaultHasher::new();
+        peers.hash(&mut hasher);
+        let mut state = self.lock();
+        state.peers_digest = hasher.finish();
+        state.peers = peers;
+    }
+
+    /// Returns the digest of the hosts that the owner lists.
+    #[must_use]
+    pub fn peers_digest(&self) -> u64 {
+        self.lock().peers_digest
     }
 
     /// Returns the largest CPU capacity among the hosts that the owner lists (this host may be
@@ -227,7 +240,7 @@
     /// actor is busy, for example recovering, still replies in time and is not considered lost.
     /// Counts and peers are those of the last reply that the owner sent to this host.
     #[must_use]
-    pub fn heartbeat_reply(&self) -> HeartbeatReply {
+    pub fn heartbeat_reply(&self, known_peers_digest: u64) -> HeartbeatReply {
         let store_response_age_ms = self.store_response_age_ms();
         let state = self.lock();
         let is_owner = state.owned_epoch.is_some();
@@ -244,7 +257,7 @@
             } else {
                 HashMap::new()
             },
-            peers: state.peers.clone(),
+            peers: (known_peers_digest != state.peers_digest).then(|| state.peers.clone()),
         }
     }
 
--- a/crates/host/src/daemon/config_reader.rs
+++ b/crates/host/src/daemon/config_reader.rs
@@ -25,7 +25,7 @@
 const READ_INTERVAL: Duration = Duration::from_millis(400);
 
 /// A host reads the items itself if its last confirmation is older than this, in milliseconds.
-const MAX_CONFIRMED_AGE_MS: u64 = 1000;
+const MAX_CONFIRMED_AGE_MS: u64 = 1400;
 
 /// Maximum time of a read; an unresponsive store must not delay the next read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1200);
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -1,7 +1,9 @@
 //! Ownership of the fleet: claims, renewals, and the owner's reads of the store.
 
+mod claim_policy;
 mod owner_polling;
 mod owner_watch;
 mod ownership_claimer;
 
+pub use claim_policy::{ClaimEvidence, claim_reason};
 pub use ownership_claimer::{OwnershipClaimer, OwnershipContext, is_much_smaller};
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -8,7 +8,7 @@
 use crate::clock::now_ms;
 use crate::control::OwnerInfo;
 use crate::event::FleetEvent;
-use crate::ownership::OwnershipContext;
+use crate::ownership::{OwnershipContext, is_much_smaller};
 use crate::peer::HeartbeatRequest;
 use crate::ports::{ListRequest, StoreError, StoreItem, WatchRequest};
 use crate::store::{OWNER_KEY, OwnerRecord};
@@ -23,9 +23,13 @@
 /// Delay after a failed request to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Time between heartbeats.
+/// Time between heartbeats of a host that would succeed the owner.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time between heartbeats of a host with much less CPU capacity than others, which claims the
+/// ownership only if no other host does. It is longer because such hosts are many.
+const SMALL_HOST_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Time between heartbeats while the owner does not respond.
 const HEARTBEAT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -51,6 +55,8 @@
     pub answered_at: u64,
     /// Number of unanswered heartbeats since then.
     pub failures: u32,
+    /// When the first of them was sent; `None` if the last one was answered.
+    pub silent_since: Option<u64>,
     /// Time since the owner sent the last request that the store answered, in milliseconds,
     /// according to the owner's last reply.
     pub store_response_age_ms: u64,
@@ -142,10 +148,11 @@
                 address: self.address.clone(),
                 accepts_work: !self.view.is_stopping(),
                 processor_milli: self.processor_milli,
+                peers_digest: self.view.peers_digest(),
             };
             let sent_at = now_ms();
             let reply = if owner.host == self.host {
-                Ok(self.control.heartbeat(request).await)
+                Ok(self.control.own_heartbeat(request).await)
             } else {
                 self.clients.heartbeat(&owner.address, request).await
             };
@@ -159,8 +166,11 @@
             if let Ok(reply) = reply {
                 health.answered_at = now_ms();
                 health.failures = 0;
+                health.silent_since = None;
                 health.store_response_age_ms = reply.store_response_age_ms;
-                self.view.set_peers(reply.peers);
+                if let Some(peers) = reply.peers {
+                    self.view.set_peers(peers);
+                }
                 if let Some(config) = reply.config {
                     let read_at = sent_at.saturating_sub(config.age_ms);
                     self.view.confirm_config(config.digest, read_at);
@@ -174,6 +184,7 @@
                 }
             } else {
                 health.failures += 1;
+                health.silent_since.get_or_insert(sent_at);
                 if !unanswered {
                     unanswered = true;
                     FleetEvent::OwnerLost.emit(json!({"owner": owner.host, "epoch": owner.epoch}));
@@ -181,12 +192,19 @@
             }
             let failed = health.failures > 0;
             let _ = self.health_sender.send(health);
-            sleep(if failed {
-                HEARTBEAT_RETRY_INTERVAL
-            } else {
-                HEARTBEAT_INTERVAL
-            })
-            .await;
+            sleep(self.heartbeat_delay(failed)).await;
+        }
+    }
+
+    /// Returns the delay before the next heartbeat.
+    fn heartbeat_delay(&self, failed: bool) -> Duration {
+        let largest = self.view.largest_peer_processor_milli();
+        if failed {
+            HEARTBEAT_RETRY_INTERVAL
+        } else if is_much_smaller(self.processor_milli, largest) {
+            SMALL_HOST_HEARTBEAT_INTERVAL
+        } else {
+            HEARTBEAT_INTERVAL
         }
     }
 }
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -1,8 +1,6 @@
 //! Claims, renews and releases the ownership of the fleet.
 //!
-//! A host claims the ownership when the store has no owner's record, when the record names this
-//! host because an earlier process wrote it, when the owner does not respond to this host although
-//! the store does, or when the owner has lost the store. A claim replaces the owner's record on the
+//! A host claims the ownership for the reasons in `claim_policy.rs`. A claim replaces the owner's record on the
 //! condition that its revision is unchanged, so only one claim succeeds; the new revision is the
 //! epoch.
 
@@ -18,10 +16,11 @@
 use crate::control::{ControlHandle, ControlInput, HostView, OwnerInfo, OwnershipGrant};
 use crate::event::FleetEvent;
 use crate::ownership::owner_watch::{OwnerHealth, OwnerObservation};
+use crate::ownership::{ClaimEvidence, claim_reason};
 use crate::peer::PeerClients;
 use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteOutcome, WriteRequest};
 use crate::store::{
-    OWNER_KEY, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, read_recovery_state,
+    OWNER_KEY, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, commit_key, read_recovery_state,
 };
 
 /// Lease of the owner's record in the store, in milliseconds.
@@ -36,16 +35,11 @@
 /// Time between checks whether to claim the ownership.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Number of consecutive unanswered heartbeats after which another host claims the ownership.
-const MISSED_HEARTBEAT_LIMIT: u32 = 3;
+/// Time between two reads of a suspected owner's commits, in milliseconds.
+const PROGRESS_READ_INTERVAL_MS: u64 = 200;
 
-/// Time after a change of the owner during which no other host claims the ownership, in
-/// milliseconds.
-const OWNER_CHANGE_SETTLE_MS: u64 = 1500;
-
-/// Time without a response of the store to the owner after which other hosts claim the ownership,
-/// in milliseconds.
-const OWNER_STORE_LOST_MS: u64 = 2000;
+/// Age of the owner's last store response from which its commits are observed, in milliseconds.
+const SUSPECT_STORE_AGE_MS: u64 = 1200;
 
 /// A host claims the ownership only if the store responded to it within this time, in milliseconds.
 const MAX_CLAIMANT_STORE_AGE_MS: u64 = 900;
@@ -126,10 +120,12 @@
     pub async fn run(self) {
         tokio::spawn(self.context.clone().watch_owner());
         tokio::spawn(self.context.clone().send_heartbeats());
+        let mut suspicion = None;
         loop {
             sleep(CLAIM_INTERVAL).await;
             let observation = self.context.observation.borrow().clone();
-            if self.context.claim_reason().is_none() {
+            self.context.update_suspicion(&mut suspicion).await;
+            if self.context.reason(suspicion.as_ref()).is_none() {
                 continue;
             }
             let Some(totals) = self.context.read_totals().await else {
@@ -137,14 +133,32 @@
             };
             let delay_ms = self.context.claim_delay_ms(&totals.0);
             sleep(Duration::from_millis(delay_ms)).await;
+            self.context.update_suspicion(&mut suspicion).await;
             let unchanged = self.context.observation.borrow().revision == observation.revision;
-            if let Some(reason) = self.context.claim_reason().filter(|_| unchanged) {
+            let reason = self.context.reason(suspicion.as_ref());
+            if let Some(reason) = reason.filter(|_| unchanged) {
                 self.context.claim(reason, observation, totals).await;
+                suspicion = None;
             }
         }
     }
 }
 
+/// What a host observes of an owner that may be lost.
+#[derive(Clone, Copy, Debug)]
+struct OwnerSuspicion {
+    /// Epoch of the owner.
+    epoch: u64,
+    /// Revision of the owner's last observed commit; 0 if there is none.
+    commit_revision: u64,
+    /// When that commit was first observed.
+    commit_observed_at: u64,
+    /// When the commit was last read.
+    read_at: u64,
+    /// Number of takeovers in the last seconds.
+    recent_takeovers: u32,
+}
+
 impl OwnershipContext {
     /// Returns the delay before a claim, in milliseconds: random, and longer if another host has,
     /// or an earlier owner had, much more CPU capacity, so that a larger host claims first.
@@ -160,8 +174,52 @@
         delay_ms + rand::random_range(0..MAX_CLAIM_JITTER_MS)
     }
 
+    /// Reads whether an owner that does not respond, or has lost the store, still commits.
+    async fn update_suspicion(&self, suspicion: &mut Option<OwnerSuspicion>) {
+        let (health, revision) = (*self.health.borrow(), self.observation.borrow().revision);
+        let is_suspect = health.epoch == revision
+            && (health.failures > 0 || health.store_response_age_ms >= SUSPECT_STORE_AGE_MS);
+        if !is_suspect {
+            *suspicion = None;
+            return;
+        }
+        let now = now_ms();
+        let known = suspicion.filter(|known| known.epoch == revision);
+        if known.is_some_and(|known| now < known.read_at + PROGRESS_READ_INTERVAL_MS) {
+            return;
+        }
+        let commit_revision = match (self.ports.store.read)(commit_key(0)).await {
+            Ok(item) => item.revision,
+            Err(StoreError::NotFound) => 0,
+            Err(_) => return,
+        };
+        *suspicion = Some(match known {
+            Some(known) if known.commit_revision == commit_revision => OwnerSuspicion {
+                read_at: now,
+                ..known
+            },
+            Some(known) => OwnerSuspicion {
+                commit_revision,
+                commit_observed_at: now_ms(),
+                read_at: now,
+                ..known
+            },
+            None => {
+                let totals = self.read_totals().await;
+                let recent = totals.map_or(0, |(totals, _)| totals.recent_claims(unix_ms()));
+                OwnerSuspicion {
+                    epoch: revision,
+                    commit_revision,
+                    commit_observed_at: now,
+                    read_at: now,
+                    recent_takeovers: recent,
+                }
+            }
+        });
+    }
+
     /// Returns why this host should claim the ownership, or `None` if it should not.
-    fn claim_reason(&self) -> Option<&'static str> {
+    fn reason(&self, suspicion: Option<&OwnerSuspicion>) -> Option<&'static str> {
         let observation = self.observation.borrow().clone();
         let is_eligible = self.view.config().is_some()
             && !self.view.is_stopping()
@@ -169,25 +227,28 @@
         if !observation.has_been_read || !is_eligible {
             return None;
         }
-        let Some(record) = &observation.record else {
-            return Some("no owner");
-        };
         let now = now_ms();
-        if record.host == self.host {
-            return Some("an earlier process of this host was the owner");
-        }
-        if now.saturating_sub(observation.changed_at) < OWNER_CHANGE_SETTLE_MS {
-            return None;
-        }
         let health = *self.health.borrow();
-        if health.epoch != observation.revision {
-            return None;
-        }
-        if health.failures >= MISSED_HEARTBEAT_LIMIT {
-            return Some("the owner does not respond");
+        let mut evidence = ClaimEvidence {
+            has_record: observation.record.is_some(),
+            is_own_record: observation
+                .record
+                .as_ref()
+                .is_some_and(|record| record.host == self.host),
+            since_change_ms: now.saturating_sub(observation.changed_at),
+            ..ClaimEvidence::default()
+        };
+        let known = suspicion.filter(|known| known.epoch == observation.revision);
+        if let Some(known) = known.filter(|_| health.epoch == observation.revision) {
+            evidence.missed_heartbeats = health.failures;
+            evidence.silent_ms = health
+                .silent_since
+                .map_or(0, |since| now.saturating_sub(since));
+            evidence.no_progress_ms = now.saturating_sub(known.commit_observed_at);
+            evidence.owner_store_age_ms = health.store_response_age_ms;
+            evidence.recent_takeovers = known.recent_takeovers;
         }
-        let owner_store_age_ms = health.store_response_age_ms;
-        (owner_store_age_ms >= OWNER_STORE_LOST_MS).then_some("the owner has lost the store")
+        claim_reason(&evidence)
     }
 
     /// Replaces the owner's record as it was observed when the claim was decided.
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -78,8 +78,9 @@
 
 impl PeerService for PeerServer {
     async fn heartbeat(self, _: Context, request: HeartbeatRequest) -> HeartbeatReply {
+        let peers_digest = request.peers_digest;
         self.control.notify_heartbeat(request).await;
-        self.view.heartbeat_reply()
+        self.view.heartbeat_reply(peers_digest)
     }
 
     async fn step_down(self, _: Context, epoch: u64) -> bool {
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -20,10 +20,12 @@
     pub accepts_work: bool,
     /// CPU capacity of the host, in thousandths of a core.
     pub processor_milli: u32,
+    /// Digest of the list of peers that the host has.
+    pub peers_digest: u64,
 }
 
 /// A host, as listed by the owner.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct PeerInfo {
     /// Address for calls between hosts.
     pub address: Arc<str>,
@@ -51,8 +53,9 @@
     pub config: Option<ConfigFingerprint>,
     /// Number of submissions without a started task, by queue.
     pub waiting_counts: HashMap<Arc<str>, u64>,
-    /// Hosts that recently sent a heartbeat to the owner and are not stopping.
-    pub peers: Vec<PeerInfo>,
+    /// Hosts that recently sent a heartbeat to the owner and are not stopping; `None` if the caller
+    /// has this list already.
+    pub peers: Option<Vec<PeerInfo>>,
 }
 
 /// A newly stored submission.
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -23,9 +23,27 @@
     /// Largest CPU capacity of a host that has owned the fleet, in thousandths of a core.
     #[serde(default)]
     pub largest_processor_milli: u32,
+    /// When the last owners claimed the ownership, in milliseconds since the Unix epoch, the newest
+    /// first; 0 for none.
+    #[serde(default)]
+    pub last_claims_unix_ms: [u64; REMEMBERED_CLAIMS],
 }
 
+/// Number of claims whose times are remembered.
+const REMEMBERED_CLAIMS: usize = 4;
+
+/// Time for which a claim counts as recent, in milliseconds.
+const RECENT_CLAIM_MS: u64 = 20_000;
+
 impl OwnershipTotals {
+    /// Returns the number of remembered claims in the last 20 seconds.
+    #[must_use]
+    pub fn recent_claims(&self, unix_ms: u64) -> u32 {
+        let is_recent = |at: &&u64| **at > 0 && unix_ms.abs_diff(**at) < RECENT_CLAIM_MS;
+        let claims = self.last_claims_unix_ms.iter().filter(is_recent).count();
+        u32::try_from(claims).unwrap_or(u32::MAX)
+    }
+
     /// Returns the totals after a claim. `replaces_other` means that the owner's record names
     /// another host, which may act until its lease in the store expires.
     #[must_use]
@@ -41,7 +59,11 @@
         } else {
             0
         };
+        let mut last_claims_unix_ms = self.last_claims_unix_ms;
+        last_claims_unix_ms.rotate_right(1);
+        last_claims_unix_ms[0] = unix_ms;
         Self {
+            last_claims_unix_ms,
             owners: self.owners + 1,
             acting_until_unix_ms: self.acting_until_unix_ms.max(acting_until),
             largest_processor_milli: self.largest_processor_milli.max(processor_milli),
