Measure what keeps a host's thread busy, and how late its timers fire

Cause: a renewal that times out in the owner's own queue looked the same as one that the upstream did not answer, and no figure said which work uses up the owner's share of the processor.

Change: busy time by kind of work (lagoonnotch_busy_seconds_total), the delay of a timer (lagoonnotch_timer_delay_seconds), event 1004 WorkReport of the owner and of busy hosts, and timer_delay_ms in event 1064.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -17,7 +17,7 @@
 use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
 use crate::control::{ControlHandle, HostView};
 use crate::event::FleetEvent;
-use crate::metrics::FleetMetrics;
+use crate::metrics::{FleetMetrics, WorkKind, measure};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, PeerClients, PeerInfo, SubmissionLookup};
 use crate::ports::{PlatformPorts, RenewOutcome};
 
@@ -314,7 +314,7 @@
     type Return = ();
 
     async fn handle(&mut self, input: ControlInput, _: &mut Context<Self>) {
-        self.apply_input(input);
+        measure(WorkKind::Decisions, || self.apply_input(input));
         self.request_tick().await;
     }
 }
@@ -331,7 +331,7 @@
         {
             self.timer = None;
         }
-        self.tick();
+        measure(WorkKind::Ticks, || self.tick());
     }
 }
 
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -14,7 +14,7 @@
 use crate::control::control_actor::PeerEntry;
 use crate::control::{ControlHandle, ControlInput};
 use crate::event::FleetEvent;
-use crate::metrics::FleetMetrics;
+use crate::metrics::{FleetMetrics, WorkKind, measured, timer_delay_ms};
 use crate::peer::PeerClients;
 use crate::ports::{PlatformPorts, PolicyRequest, RenewOutcome};
 use crate::store::CommitWriter;
@@ -59,20 +59,25 @@
         let runner = self.clone();
         match effect {
             OwnerEffect::Renew(order) => {
-                tokio::spawn(async move { runner.renew_leases(order, valid_until).await });
+                let renewal = async move { runner.renew_leases(order, valid_until).await };
+                tokio::spawn(measured(WorkKind::Renewals, renewal));
             }
             OwnerEffect::Start(order) => {
-                tokio::spawn(async move { runner.start(order, valid_until).await });
+                let start = async move { runner.start(order, valid_until).await };
+                tokio::spawn(measured(WorkKind::Orders, start));
             }
             OwnerEffect::Stop(order) => {
-                tokio::spawn(async move { runner.stop(order).await });
+                let stop = async move { runner.stop(order).await };
+                tokio::spawn(measured(WorkKind::Orders, stop));
             }
             OwnerEffect::Query(order) => {
                 let address = peers.get(&order.host).map(|peer| peer.info.address.clone());
-                tokio::spawn(async move { runner.query_policy(epoch, order, address).await });
+                let query = async move { runner.query_policy(epoch, order, address).await };
+                tokio::spawn(measured(WorkKind::Queries, query));
             }
             OwnerEffect::Commit(batch) => {
-                tokio::spawn(async move { runner.commit(epoch, batch).await });
+                let commit = async move { runner.commit(epoch, batch).await };
+                tokio::spawn(measured(WorkKind::Commits, commit));
             }
             OwnerEffect::StepDown => {}
         }
@@ -92,6 +97,7 @@
                 "upstream": order.upstream,
                 "waited_ms": now_ms().saturating_sub(sent_at),
                 "outcome": format!("{outcome:?}"),
+                "timer_delay_ms": timer_delay_ms(),
             }));
         }
         self.control
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -15,6 +15,7 @@
 use crate::control::{ControlActor, ControlHandle, HostView};
 use crate::daemon::config_reader::ConfigReader;
 use crate::daemon::store_relay::hedge_context;
+use crate::daemon::work_report::report_work;
 use crate::entry::{EntryRequest, EntryResponse, EntryService, OwnerNotifier};
 use crate::event::{FleetEvent, set_host};
 use crate::http::{HttpRequest, HttpResponse, RequestHandler, ServerLimits, serve_http};
@@ -116,6 +117,7 @@
             settings.processor_milli(),
         );
         tokio::spawn(claimer.run());
+        tokio::spawn(report_work(view.clone(), metrics.clone()));
         let (closing_sender, closing) = watch::channel(false);
         let service = entry_service(settings, &view, hedged, &control, clients, metrics.clone());
         tokio::spawn(serve_http(
--- a/crates/host/src/daemon/mod.rs
+++ b/crates/host/src/daemon/mod.rs
@@ -3,5 +3,6 @@
 mod config_reader;
 mod fleet_daemon;
 mod store_relay;
+mod work_report;
 
 pub use fleet_daemon::{ApiCodec, FleetDaemon};
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -65,6 +65,9 @@
     /// The settings file was read and validated again after SIGHUP; the running host keeps its
     /// settings.
     SettingsReloaded = 1003, Info;
+    /// How long each kind of work kept the thread busy, and how late its timers fired, since the last
+    /// such line; written by the owner, and by hosts that are busy for over half of the time.
+    WorkReport = 1004, Info;
     /// The store does not respond to this host.
     StoreLost = 1010, Warn;
     /// The store responds to this host again.
--- a/crates/host/src/http/http_client.rs
+++ b/crates/host/src/http/http_client.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+use crate::metrics::{WorkKind, measured};
+
 /// Maximum number of idle connections per address.
 const MAX_IDLE: usize = 8;
 
@@ -117,11 +119,12 @@
             .await
             .map_err(|_| ClientError::NotSent)?;
         self.opened_count.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(async move {
+        let driver = async move {
             if let Err(error) = connection.await {
                 log::debug!(target: "lagoonnotch", "connection closed with an error: {error}");
             }
-        });
+        };
+        tokio::spawn(measured(WorkKind::Connections, driver));
         Ok(sender)
     }
 
--- a/crates/host/src/http/http_server.rs
+++ b/crates/host/src/http/http_server.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::now_ms;
+use crate::metrics::{WorkKind, measured};
 use crate::ports::PortFuture;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
@@ -74,7 +75,7 @@
             Ok((stream, _)) => {
                 let limits = *limits.borrow();
                 let connection = serve_connection(stream, limits, handler.clone(), closing.clone());
-                tokio::spawn(connection);
+                tokio::spawn(measured(WorkKind::Callers, connection));
             }
             Err(error) => {
                 log::warn!(target: "lagoonnotch", "failed to accept a connection: {error}");
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -2,14 +2,18 @@
 
 use std::sync::atomic::AtomicU64;
 
-use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::metrics::{WorkKind, busy_time};
+
 /// Upper bound of the first latency bucket, in seconds.
 const FIRST_BUCKET_S: f64 = 0.001;
 
@@ -28,6 +32,33 @@
     reason: &'static str,
 }
 
+/// Label that carries the kind of work.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WorkLabel {
+    work: &'static str,
+}
+
+/// Encodes the time for which each kind of work kept the thread busy.
+#[derive(Debug)]
+struct BusyCollector;
+
+impl Collector for BusyCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let mut family = encoder.encode_descriptor(
+            "busy_seconds",
+            "Time for which work kept the thread busy",
+            None,
+            MetricType::Counter,
+        )?;
+        for kind in WorkKind::ALL {
+            let label = WorkLabel { work: kind.label() };
+            let seconds = ConstCounter::new(busy_time(kind).as_secs_f64());
+            seconds.encode(family.encode_family(&label)?)?;
+        }
+        Ok(())
+    }
+}
+
 /// Metrics of an entry host.
 #[derive(Debug)]
 pub struct FleetMetrics {
@@ -41,6 +72,7 @@
     booked_runs: Gauge<u64, AtomicU64>,
     owner_epoch: Gauge<u64, AtomicU64>,
     config_version: Gauge<u64, AtomicU64>,
+    timer_delay_seconds: Histogram,
 }
 
 impl Default for FleetMetrics {
@@ -56,6 +88,11 @@
             booked_runs: Gauge::default(),
             owner_epoch: Gauge::default(),
             config_version: Gauge::default(),
+            timer_delay_seconds: Histogram::new(exponential_buckets(
+                FIRST_BUCKET_S,
+                2.0,
+                BUCKET_COUNT,
+            )),
         };
         metrics.register();
         metrics
@@ -94,6 +131,17 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "timer_delay_seconds",
+            "How late a timer fires",
+            self.timer_delay_seconds.clone(),
+        );
+        registry.register_collector(Box::new(BusyCollector));
+    }
+
+    /// Records how late a timer fired.
+    pub fn record_timer_delay(&self, seconds: f64) {
+        self.timer_delay_seconds.observe(seconds);
     }
 
     /// Counts a response to a caller and records its latency.
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -15,6 +15,7 @@
 use crate::clock::{now_ms, unix_ms};
 use crate::control::{ControlHandle, ControlInput, HostView, OwnerInfo, OwnershipGrant};
 use crate::event::FleetEvent;
+use crate::metrics::{WorkKind, measured};
 use crate::ownership::owner_watch::{OwnerHealth, OwnerObservation};
 use crate::ownership::{ClaimEvidence, claim_reason};
 use crate::peer::PeerClients;
@@ -397,8 +398,9 @@
             address: self.address.clone(),
             epoch,
         }));
-        let directory = tokio::spawn(self.clone().poll_directory());
-        let accepted = tokio::spawn(self.clone().watch_accepted(revision));
+        let directory = tokio::spawn(measured(WorkKind::Polling, self.clone().poll_directory()));
+        let watch = self.clone().watch_accepted(revision);
+        let accepted = tokio::spawn(measured(WorkKind::Polling, watch));
         let expiry = tokio::spawn(self.clone().sweep_expired_final_states());
         let _ = renewal.await;
         directory.abort();
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 
 use crate::control::{ControlHandle, HostView};
+use crate::metrics::{WorkKind, measured};
 use crate::peer::{
     HeartbeatReply, HeartbeatRequest, NewSubmission, PeerService, RelayedDecision, SubmissionLookup,
 };
@@ -61,10 +62,11 @@
             let transport = tarpc::serde_transport::new(framed, Bincode::default());
             let channel = BaseChannel::with_defaults(with_item_types(transport));
             let responses = channel.execute(PeerService::serve(self.clone()));
-            tokio::spawn(responses.for_each(|response| {
-                tokio::spawn(response);
+            let serving = responses.for_each(|response| {
+                tokio::spawn(measured(WorkKind::Peers, response));
                 ready(())
-            }));
+            });
+            tokio::spawn(measured(WorkKind::Peers, serving));
         }
     }
 }
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -10,3 +10,4 @@
 mod relay;
 mod settings;
 mod submissions;
+mod work_meter;
