Add a fleet of 1,100 upstreams to the policy benchmark

Cause: no load of the own model shows what the owner's decisions cost at the size of the large deployment. Change: cases large-calm and large-full (147 hosts; full has a batch burst of 8).

--- a/crates/fleet/benches/policy/cases.rs
+++ b/crates/fleet/benches/policy/cases.rs
@@ -98,9 +98,28 @@
         );
     }
     add_notice_cases(&mut cases);
+    add_large_cases(&mut cases);
     cases
 }
 
+/// Adds a fleet of 1,100 upstreams, calm and with more batch work than it can run at once.
+fn add_large_cases(cases: &mut Vec<PolicyCase>) {
+    let calm = SimulationSettings {
+        host_count: 147,
+        ..SimulationSettings::baseline(LoadMix::fog_site().scaled(23.0), 1)
+    };
+    cases.push(PolicyCase {
+        name: "large-calm".to_owned(),
+        settings: calm.clone(),
+    });
+    let mut full = calm;
+    full.mix = full.mix.with_batch_burst(8.0);
+    cases.push(PolicyCase {
+        name: "large-full".to_owned(),
+        settings: full,
+    });
+}
+
 fn add_notice_cases(cases: &mut Vec<PolicyCase>) {
     let calm = SimulationSettings {
         host_count: 42,
