Do not hold up new submissions behind a cancellation that the owner does not know

Cause: a host delivered notices one batch after the other, and repeated a batch until the owner knew every cancellation in it. The owner never knows one whose submission has ended, so the batch was repeated 150 times. Class: head-of-line blocking by an item that can't succeed.

Evidence: 'gave up notifying the owner of 18 submissions and 1 cancellations' at 29.3 and 45.5 s.

Change: a queue of unconfirmed notices (NoticeQueue). The owner replies which cancellations it does not know; those alone are sent again, each time later, and delay nothing else.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -414,21 +414,21 @@
 }
 
 impl Handler<CancelledMessage> for ControlActor {
-    type Return = bool;
+    type Return = Vec<Arc<str>>;
 
-    async fn handle(&mut self, message: CancelledMessage, _: &mut Context<Self>) -> bool {
+    async fn handle(&mut self, message: CancelledMessage, _: &mut Context<Self>) -> Vec<Arc<str>> {
         let Some(ownership) = &mut self.ownership else {
-            return false;
+            return message.0;
         };
-        let known = message
+        let (known, unknown): (Vec<_>, Vec<_>) = message
             .0
-            .iter()
-            .all(|id| ownership.machine.state_of(id).is_some());
-        for id in &message.0 {
+            .into_iter()
+            .partition(|id| ownership.machine.state_of(id).is_some());
+        for id in &known {
             ownership.machine.cancel(now_ms(), id);
         }
         self.request_tick().await;
-        known
+        unknown
     }
 }
 
--- a/crates/host/src/control/control_handle.rs
+++ b/crates/host/src/control/control_handle.rs
@@ -80,12 +80,11 @@
             .unwrap_or(false)
     }
 
-    /// Delivers stored cancellations; returns true if the host is the owner and knows them now.
-    pub async fn notify_cancelled(&self, ids: Vec<Arc<str>>) -> bool {
-        self.address
-            .send(CancelledMessage(ids))
-            .await
-            .unwrap_or(false)
+    /// Delivers stored cancellations; returns those whose submissions the owner does not know, which
+    /// are all of them if the host is not the owner.
+    pub async fn notify_cancelled(&self, ids: Vec<Arc<str>>) -> Vec<Arc<str>> {
+        let reply = self.address.send(CancelledMessage(ids.clone())).await;
+        reply.unwrap_or(ids)
     }
 
     /// Returns the state of a submission.
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -86,8 +86,7 @@
 /// Delivers stored submissions; replies whether the host is the owner.
 pub(super) struct SubmittedMessage(pub Vec<AcceptedSubmission>);
 
-/// Delivers stored cancellations; replies whether the host is the owner and knows all their
-/// submissions.
+/// Delivers stored cancellations; replies with those whose submissions the owner does not know.
 pub(super) struct CancelledMessage(pub Vec<Arc<str>>);
 
 /// Looks up the state of a submission.
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -2,8 +2,10 @@
 
 mod entry_request;
 mod entry_service;
+mod notice_queue;
 mod owner_notifier;
 
 pub use entry_request::{EntryOperation, EntryRequest, EntryResponse, RefusalReason};
 pub use entry_service::EntryService;
+pub use notice_queue::{NoticeQueue, OwnerNotice};
 pub use owner_notifier::OwnerNotifier;
--- a/crates/host/src/entry/owner_notifier.rs
+++ b/crates/host/src/entry/owner_notifier.rs
@@ -1,39 +1,25 @@
 //! Notifies the owner of submissions and cancellations that this host stored.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::clock::now_ms;
 use crate::control::{ControlHandle, HostView};
+use crate::entry::{NoticeQueue, OwnerNotice};
 use crate::peer::{NewSubmission, PeerClients};
 
-/// Delay after a failed delivery.
+/// Delay before unconfirmed notices are sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// Time between checks whether the owner has changed.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time for which notices are sent again to a new owner, in milliseconds. The previous owner may
-/// have accepted them although it had already been replaced.
-const RESEND_WINDOW_MS: u64 = 8000;
-
-/// Maximum number of notices received at a time.
+/// Maximum number of notices received at a time, and of notices of one kind in a call.
 const MAX_BATCH_SIZE: usize = 32;
 
-/// Maximum number of delivery attempts; after that the owner finds the items in the store.
-const MAX_ATTEMPTS: u32 = 150;
-
-/// A stored item that the owner must be notified of.
-#[derive(Clone, Debug)]
-enum OwnerNotice {
-    Submission(NewSubmission),
-    Cancellation(Arc<str>),
-}
-
 /// Notifies the owner of stored items, and retries until the owner confirms.
 #[derive(Clone, Debug)]
 pub struct OwnerNotifier {
@@ -49,6 +35,7 @@
             view,
             control,
             clients,
+            queue: NoticeQueue::default(),
         };
         tokio::spawn(delivery.run(receiver));
         Self { sender }
@@ -69,72 +56,61 @@
     view: HostView,
     control: ControlHandle,
     clients: PeerClients,
+    queue: NoticeQueue,
 }
 
 impl NoticeDelivery {
-    async fn run(self, mut receiver: mpsc::UnboundedReceiver<OwnerNotice>) {
-        let mut recent: VecDeque<(u64, OwnerNotice)> = VecDeque::new();
-        let mut notified_epoch = 0;
+    async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<OwnerNotice>) {
         loop {
             let mut notices = Vec::new();
+            let wait = if self.queue.is_empty() {
+                OWNER_CHECK_INTERVAL
+            } else {
+                RETRY_DELAY
+            };
             let waiting = receiver.recv_many(&mut notices, MAX_BATCH_SIZE);
-            if let Ok(0) = timeout(OWNER_CHECK_INTERVAL, waiting).await {
+            if let Ok(0) = timeout(wait, waiting).await {
                 return;
             }
             let now = now_ms();
-            recent.extend(notices.iter().map(|notice| (now, notice.clone())));
-            while recent
-                .front()
-                .is_some_and(|(received_at, _)| received_at + RESEND_WINDOW_MS < now)
-            {
-                recent.pop_front();
+            for notice in notices {
+                self.queue.push(now, notice);
             }
             let epoch = self.view.owner().map_or(0, |owner| owner.epoch);
-            if epoch != notified_epoch {
-                notified_epoch = epoch;
-                notices = recent.iter().map(|(_, notice)| notice.clone()).collect();
-            }
-            if !notices.is_empty() {
-                self.split_and_deliver(notices).await;
+            self.queue.set_epoch(now, epoch);
+            self.deliver_submissions().await;
+            self.deliver_cancellations().await;
+            let (submissions, cancellations) = self.queue.drop_expired(now_ms());
+            if submissions + cancellations > 0 {
+                log::warn!(target: "lagoonnotch", "gave up notifying the owner of {submissions} submissions and {cancellations} cancellations");
             }
         }
     }
 
-    /// Separates the submissions from the cancellations, and delivers both.
-    async fn split_and_deliver(&self, notices: Vec<OwnerNotice>) {
-        let mut submissions = Vec::new();
-        let mut cancellations = Vec::new();
-        for notice in notices {
-            match notice {
-                OwnerNotice::Submission(submission) => submissions.push(submission),
-                OwnerNotice::Cancellation(id) => cancellations.push(id),
+    /// Sends the unconfirmed submissions until all are confirmed or a call fails.
+    async fn deliver_submissions(&mut self) {
+        loop {
+            let submissions = self.queue.submissions(MAX_BATCH_SIZE);
+            let count = submissions.len();
+            if count == 0 || !self.send_submissions(submissions).await {
+                return;
             }
+            self.queue.confirm_submissions(count);
         }
-        self.deliver_with_retries(submissions, cancellations).await;
     }
 
-    /// Delivers the submissions and then the cancellations, and retries until the owner confirms
-    /// them or `MAX_ATTEMPTS` is reached.
-    async fn deliver_with_retries(
-        &self,
-        submissions: Vec<NewSubmission>,
-        cancellations: Vec<Arc<str>>,
-    ) {
-        let (mut submissions_delivered, mut cancellations_delivered) =
-            (submissions.is_empty(), cancellations.is_empty());
-        for _ in 0..MAX_ATTEMPTS {
-            if !submissions_delivered {
-                submissions_delivered = self.send_submissions(submissions.clone()).await;
-            }
-            if submissions_delivered && !cancellations_delivered {
-                cancellations_delivered = self.send_cancellations(cancellations.clone()).await;
-            }
-            if submissions_delivered && cancellations_delivered {
+    /// Sends the cancellations that are due until none is left or a call fails.
+    async fn deliver_cancellations(&mut self) {
+        loop {
+            let ids = self.queue.due_cancellations(now_ms(), MAX_BATCH_SIZE);
+            if ids.is_empty() {
                 return;
             }
-            sleep(RETRY_DELAY).await;
+            let Some(unknown) = self.send_cancellations(ids.clone()).await else {
+                return;
+            };
+            self.queue.finish_cancellations(now_ms(), &ids, &unknown);
         }
-        log::warn!(target: "lagoonnotch", "gave up notifying the owner of {} submissions and {} cancellations", submissions.len(), cancellations.len());
     }
 
     async fn send_submissions(&self, submissions: Vec<NewSubmission>) -> bool {
@@ -153,16 +129,14 @@
         }
     }
 
-    async fn send_cancellations(&self, ids: Vec<Arc<str>>) -> bool {
+    /// Returns the cancellations whose submissions the owner does not know, or `None` if the owner
+    /// did not reply.
+    async fn send_cancellations(&self, ids: Vec<Arc<str>>) -> Option<Vec<Arc<str>>> {
         if self.view.owned_epoch().is_some() {
-            return self.control.notify_cancelled(ids).await;
-        }
-        match self.view.owner() {
-            Some(owner) => {
-                let is_accepted = self.clients.notify_cancelled(&owner.address, ids).await;
-                is_accepted.unwrap_or(false)
-            }
-            None => false,
+            return Some(self.control.notify_cancelled(ids).await);
         }
+        let owner = self.view.owner()?;
+        let reply = self.clients.notify_cancelled(&owner.address, ids).await;
+        reply.ok()
     }
 }
--- a/crates/host/src/peer/peer_clients.rs
+++ b/crates/host/src/peer/peer_clients.rs
@@ -101,7 +101,7 @@
         self.check_reply(address, reply)
     }
 
-    /// Notifies the owner of stored cancellations.
+    /// Notifies the owner of stored cancellations; returns those whose submissions it does not know.
     ///
     /// # Errors
     ///
@@ -110,7 +110,7 @@
         &self,
         address: &Arc<str>,
         ids: Vec<Arc<str>>,
-    ) -> Result<bool, PeerError> {
+    ) -> Result<Vec<Arc<str>>, PeerError> {
         let client = self.client(address).await?;
         let reply = client
             .notify_cancelled(context_with_timeout(CALL_TIMEOUT), ids)
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -93,7 +93,7 @@
         self.control.notify_submitted(submissions).await
     }
 
-    async fn notify_cancelled(self, _: Context, ids: Vec<Arc<str>>) -> bool {
+    async fn notify_cancelled(self, _: Context, ids: Vec<Arc<str>>) -> Vec<Arc<str>> {
         self.control.notify_cancelled(ids).await
     }
 
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -99,8 +99,9 @@
     /// Notifies the owner of stored submissions; returns true if it knows them now.
     async fn notify_submitted(submissions: Vec<NewSubmission>) -> bool;
 
-    /// Notifies the owner of stored cancellations; returns true if it knows them now.
-    async fn notify_cancelled(ids: Vec<Arc<str>>) -> bool;
+    /// Notifies the owner of stored cancellations; returns those whose submissions it does not know,
+    /// which are all of them if the host is not the owner.
+    async fn notify_cancelled(ids: Vec<Arc<str>>) -> Vec<Arc<str>>;
 
     /// Returns the state of a submission, if the host is the owner.
     async fn submission_state(id: Arc<str>) -> SubmissionLookup;
--- a/crates/host/tests/host/work_meter.rs
+++ b/crates/host/tests/host/work_meter.rs
@@ -8,7 +8,10 @@
     let text = FleetMetrics::default().encode_text();
 
     for kind in WorkKind::ALL {
-        let counter = format!("lagoonnotch_busy_seconds_total{{work=\"{}\"}}", kind.label());
+        let counter = format!(
+            "lagoonnotch_busy_seconds_total{{work=\"{}\"}}",
+            kind.label()
+        );
         assert!(text.contains(&counter), "{counter} is missing");
     }
 }
