Report how long inputs wait for the control actor

Cause: busy time and timer delays leave open whether messages queue up in front of the owner's decisions.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -12,12 +12,12 @@
 use crate::clock::{now_ms, unix_ms};
 use crate::control::control_messages::{
     CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, OwnershipGrant,
-    PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage,
+    PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage, TimedInput,
 };
 use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
 use crate::control::{ControlHandle, HostView};
 use crate::event::FleetEvent;
-use crate::metrics::{FleetMetrics, WorkKind, measure};
+use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, PeerClients, PeerInfo, SubmissionLookup};
 use crate::ports::{PlatformPorts, RenewOutcome};
 
@@ -310,11 +310,12 @@
     }
 }
 
-impl Handler<ControlInput> for ControlActor {
+impl Handler<TimedInput> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, input: ControlInput, _: &mut Context<Self>) {
-        measure(WorkKind::Decisions, || self.apply_input(input));
+    async fn handle(&mut self, message: TimedInput, _: &mut Context<Self>) {
+        record_inbox_delay(now_ms().saturating_sub(message.sent_at));
+        measure(WorkKind::Decisions, || self.apply_input(message.input));
         self.request_tick().await;
     }
 }
--- a/crates/host/src/control/control_handle.rs
+++ b/crates/host/src/control/control_handle.rs
@@ -4,9 +4,10 @@
 
 use xtra::Address;
 
+use crate::clock::now_ms;
 use crate::control::control_messages::{
     CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, PeerHeartbeatMessage,
-    STOPPED_LOOKUP, StepDownMessage, SubmittedMessage, stopped_reply,
+    STOPPED_LOOKUP, StepDownMessage, SubmittedMessage, TimedInput, stopped_reply,
 };
 use crate::control::{AcceptedSubmission, ControlActor};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, NewSubmission, SubmissionLookup};
@@ -26,7 +27,11 @@
 
     /// Sends an input without waiting until it is processed.
     pub async fn send(&self, input: ControlInput) {
-        if self.address.send(input).detach().await.is_err() {
+        let message = TimedInput {
+            input,
+            sent_at: now_ms(),
+        };
+        if self.address.send(message).detach().await.is_err() {
             log::error!(target: "lagoonnotch", "the control actor has stopped");
         }
     }
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -71,6 +71,12 @@
     CommitFinished(u64, CommitBatch, CommitOutcome),
 }
 
+/// An input and when it was sent.
+pub(super) struct TimedInput {
+    pub input: ControlInput,
+    pub sent_at: u64,
+}
+
 /// Makes the actor do the work that is due.
 pub(super) struct TickMessage;
 
--- a/crates/host/src/daemon/work_report.rs
+++ b/crates/host/src/daemon/work_report.rs
@@ -8,7 +8,7 @@
 use crate::clock::now_ms;
 use crate::control::HostView;
 use crate::event::FleetEvent;
-use crate::metrics::{FleetMetrics, WorkKind, busy_time, watch_timers};
+use crate::metrics::{FleetMetrics, WorkKind, busy_time, take_max_inbox_delay_ms, watch_timers};
 
 /// Time between two reports, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 2000;
@@ -30,6 +30,7 @@
         let since_last = |(time, last): (&Duration, &Duration)| time.saturating_sub(*last);
         let spent: Vec<_> = times.iter().zip(&last_times).map(since_last).collect();
         let busy: Duration = spent.iter().sum();
+        let max_inbox_delay_ms = take_max_inbox_delay_ms();
         if view.owned_epoch().is_some() || busy > Duration::from_millis(elapsed_ms / 2) {
             let mut fields: Map<String, Value> = WorkKind::ALL
                 .iter()
@@ -38,6 +39,7 @@
                 .collect();
             fields.insert("busy_ms".into(), millis(busy));
             fields.insert("elapsed_ms".into(), elapsed_ms.into());
+            fields.insert("max_inbox_delay_ms".into(), max_inbox_delay_ms.into());
             fields.insert("max_timer_delay_ms".into(), max_delay_ms.into());
             FleetEvent::WorkReport.emit(json!(fields));
         }
--- a/crates/host/src/metrics/mod.rs
+++ b/crates/host/src/metrics/mod.rs
@@ -4,4 +4,7 @@
 mod work_meter;
 
 pub use fleet_metrics::FleetMetrics;
-pub use work_meter::{WorkKind, busy_time, measure, measured, timer_delay_ms, watch_timers};
+pub use work_meter::{
+    WorkKind, busy_time, measure, measured, record_inbox_delay, take_max_inbox_delay_ms,
+    timer_delay_ms, watch_timers,
+};
--- a/crates/host/src/metrics/work_meter.rs
+++ b/crates/host/src/metrics/work_meter.rs
@@ -72,6 +72,10 @@
 static BUSY_NANOS: [AtomicU64; WorkKind::ALL.len()] =
     [const { AtomicU64::new(0) }; WorkKind::ALL.len()];
 
+/// Longest time for which an input waited for the control actor since it was last taken, in
+/// milliseconds.
+static MAX_INBOX_DELAY_MS: AtomicU64 = AtomicU64::new(0);
+
 /// When the timer of [`watch_timers`] last fired; 0 before the first time.
 static TIMER_FIRED_AT: AtomicU64 = AtomicU64::new(0);
 
@@ -104,6 +108,18 @@
     BUSY_NANOS[kind as usize].fetch_add(nanos, Ordering::Relaxed);
 }
 
+/// Records for how long an input waited for the control actor, in milliseconds.
+pub fn record_inbox_delay(delay_ms: u64) {
+    MAX_INBOX_DELAY_MS.fetch_max(delay_ms, Ordering::Relaxed);
+}
+
+/// Returns the longest time for which an input waited for the control actor since the last call, in
+/// milliseconds.
+#[must_use]
+pub fn take_max_inbox_delay_ms() -> u64 {
+    MAX_INBOX_DELAY_MS.swap(0, Ordering::Relaxed)
+}
+
 /// Returns by how much the thread is late now, in milliseconds: the time for which an expired timer
 /// has been waiting for it.
 #[must_use]
