Do not search all upstreams for the runs of a submission that has none

Cause: each end of a submission examined every upstream, though most have no run left then: a cost that grows with the fleet and not with the change. Change: skip the search if no run is allocated.

--- a/crates/fleet/src/owner/submission_end.rs
+++ b/crates/fleet/src/owner/submission_end.rs
@@ -35,6 +35,10 @@
 
     /// Stops the remaining runs of a submission and releases its planned ones.
     fn stop_runs_of(&mut self, now: u64, id: &Arc<str>) {
+        let entry = self.submissions.get(id);
+        if entry.is_none_or(|entry| entry.allocated_runs == 0) {
+            return;
+        }
         let first = TaskName {
             submission: id.clone(),
             occurrence: 0,
