Examine only upstreams with room when a step asks for advice

Cause: each waiting step examined every upstream of its pool in each pass, copied an identifier for each, and looked up every upstream by name to forecast what becomes free. Change: one forecast for each pass, sorted by free processor time; a step examines those with enough of it, and all of them only if it will ask.

--- a/crates/fleet/benches/policy/main.rs
+++ b/crates/fleet/benches/policy/main.rs
@@ -81,9 +81,10 @@
         })
         .collect();
     println!(
-        "    {:.0} starts, {:.0} stopped, {:.0} queries; utilization {}; unfairness {:.2}",
+        "    {:.0} starts, {:.0} stopped, {:.0} renewals, {:.0} queries; utilization {}; unfairness {:.2}",
         mean(outcomes, |outcome| outcome.starts as f64),
         mean(outcomes, |outcome| outcome.stopped as f64),
+        mean(outcomes, |outcome| outcome.renewals as f64),
         mean(outcomes, |outcome| outcome.policy_calls.0 as f64),
         utilizations.join(", "),
         mean(outcomes, |outcome| outcome.unfairness),
--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -46,9 +46,43 @@
 #[derive(Debug, Default)]
 pub(super) struct PoolView {
     pub upstreams: Vec<UpstreamView>,
-    /// Capacity that becomes free within a duration in milliseconds, by duration and upstream
-    /// position.
-    pub freed_within: HashMap<u64, Vec<ResourceSize>>,
+    /// Capacity that becomes free within a duration in milliseconds, by duration.
+    pub forecasts: HashMap<u64, CapacityForecast>,
+}
+
+/// Capacity of the upstreams of a pool that becomes free within a duration.
+#[derive(Debug, Default)]
+pub(super) struct CapacityForecast {
+    /// Capacity that becomes free, by upstream position.
+    pub freed: Vec<ResourceSize>,
+    /// Upstream positions by the CPU that is free or becomes free, most first. The CPU that is
+    /// actually free may be less, because steps are placed after the forecast was made.
+    by_free_cpu: Vec<(u64, usize)>,
+}
+
+impl CapacityForecast {
+    /// Creates the forecast of a pool.
+    pub fn new(upstreams: &[UpstreamView], freed: Vec<ResourceSize>) -> Self {
+        let mut by_free_cpu: Vec<_> = upstreams
+            .iter()
+            .zip(&freed)
+            .enumerate()
+            .map(|(position, (upstream, freed))| {
+                (upstream.free.cpu_milli + freed.cpu_milli, position)
+            })
+            .collect();
+        by_free_cpu.sort_unstable_by_key(|(cpu_milli, _)| std::cmp::Reverse(*cpu_milli));
+        Self { freed, by_free_cpu }
+    }
+
+    /// Returns the positions of the upstreams that may have this much CPU, and possibly others.
+    pub fn positions_with_cpu(&self, cpu_milli: u64) -> impl Iterator<Item = usize> {
+        let roomy = self
+            .by_free_cpu
+            .iter()
+            .take_while(move |(free_cpu_milli, _)| *free_cpu_milli >= cpu_milli);
+        roomy.map(|(_, position)| *position)
+    }
 }
 
 /// Snapshot of the fleet for one placement pass.
--- a/crates/fleet/src/owner/gang_placement.rs
+++ b/crates/fleet/src/owner/gang_placement.rs
@@ -124,19 +124,21 @@
         view: &mut FleetView,
     ) -> Vec<GangSlots> {
         let within_ms = ready.queue.policy_service.map_or(0, PolicyTiming::query_ms);
-        self.ensure_freed_within(now, &ready.queue.pool, within_ms, view);
+        self.ensure_forecast(now, &ready.queue.pool, within_ms, view);
         let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
         else {
             return Vec::new();
         };
-        let freed = pool.freed_within.get(&within_ms);
+        let forecast = pool.forecasts.get(&within_ms);
         let allocation = request.allocation();
         let mut slots = Vec::new();
         for (position, upstream) in pool.upstreams.iter().enumerate() {
             if !request.could_run(upstream, step) {
                 continue;
             }
-            let ending = freed.and_then(|freed| freed.get(position)).copied();
+            let ending = forecast
+                .and_then(|forecast| forecast.freed.get(position))
+                .copied();
             let free = upstream.free + ending.unwrap_or_default();
             let tasks = free
                 .saturating_sub(&upstream.reserved)
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use crate::model::{PolicyTiming, ResourceSize};
-use crate::owner::fleet_view::{FleetView, UpstreamIndex};
+use crate::owner::fleet_view::{CapacityForecast, FleetView, UpstreamIndex, UpstreamView};
 use crate::owner::placement::PlacementRequest;
 use crate::owner::query_dispatcher::{PolicyQuery, QueryOutcome};
 use crate::owner::ready_list::ReadyStep;
@@ -40,7 +40,8 @@
 
 /// An upstream that a query may name.
 struct QueryCandidate {
-    id: Arc<str>,
+    /// Position of the upstream in the view of its pool.
+    position: usize,
     known_allowed: bool,
     near_data: bool,
     /// Number of the step's tasks that it can run when the answer arrives.
@@ -160,24 +161,46 @@
         service: PolicyTiming,
         view: &mut FleetView,
     ) -> Vec<Arc<str>> {
-        let mut candidates = self.query_candidates(now, ready, request, service, view);
-        let allowed_candidates = candidates
-            .iter()
-            .filter(|candidate| candidate.known_allowed);
-        let allowed_capacity: u64 = allowed_candidates.fold(0, |sum, candidate| {
-            sum.saturating_add(candidate.task_capacity)
-        });
+        let within_ms = service.query_ms();
+        self.ensure_forecast(now, &ready.queue.pool, within_ms, view);
+        let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
+        else {
+            return Vec::new();
+        };
+        let Some(forecast) = pool.forecasts.get(&within_ms) else {
+            return Vec::new();
+        };
+        let candidate =
+            |position| query_candidate(now, request, step, &pool.upstreams, forecast, position);
+        // Few upstreams of a full pool have room, and most examinations end here.
+        let mut positions: Vec<_> = forecast
+            .positions_with_cpu(request.allocation().cpu_milli)
+            .collect();
+        positions.sort_unstable();
+        let mut candidates: Vec<_> = positions
+            .into_iter()
+            .filter_map(candidate)
+            .filter(|candidate| candidate.task_capacity > 0)
+            .collect();
+        let capacity_of = |candidates: &[QueryCandidate], known_allowed_only: bool| {
+            candidates
+                .iter()
+                .filter(|candidate| candidate.known_allowed || !known_allowed_only)
+                .fold(0, |sum: u64, candidate| {
+                    sum.saturating_add(candidate.task_capacity)
+                })
+        };
         let needed_capacity = if request.spec().gang { unplaced } else { 1 };
+        let allowed_capacity = capacity_of(&candidates, true);
         if allowed_capacity >= needed_capacity {
-            candidates.retain(|candidate| candidate.task_capacity > 0 && candidate.known_allowed);
+            candidates.retain(|candidate| candidate.known_allowed);
+        } else if capacity_of(&candidates, false) < needed_capacity {
+            return Vec::new();
         } else {
-            candidates.retain(|candidate| candidate.task_capacity > 0 || !candidate.known_allowed);
-            let total = candidates.iter().fold(0_u64, |sum, candidate| {
-                sum.saturating_add(candidate.task_capacity)
-            });
-            if total < needed_capacity {
-                return Vec::new();
-            }
+            candidates = (0..pool.upstreams.len())
+                .filter_map(candidate)
+                .filter(|candidate| candidate.task_capacity > 0 || !candidate.known_allowed)
+                .collect();
         }
         candidates.sort_by_key(|candidate| {
             let task_capacity = std::cmp::Reverse(candidate.task_capacity.min(unplaced));
@@ -200,72 +223,38 @@
                 break;
             }
             queried_capacity = queried_capacity.saturating_add(candidate.task_capacity);
-            queried.push(candidate.id);
+            queried.push(pool.upstreams[candidate.position].id.clone());
         }
         queried
     }
 
-    /// Returns the upstreams without a valid ticket that could run the step.
-    fn query_candidates(
-        &self,
-        now: u64,
-        ready: &ReadyStep,
-        request: &PlacementRequest,
-        service: PolicyTiming,
-        view: &mut FleetView,
-    ) -> Vec<QueryCandidate> {
-        let within_ms = service.query_ms();
-        self.ensure_freed_within(now, &ready.queue.pool, within_ms, view);
-        let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
-        else {
-            return Vec::new();
-        };
-        let freed = pool.freed_within.get(&within_ms).into_iter().flatten();
-        let allocation = request.allocation();
-        pool.upstreams
-            .iter()
-            .zip(freed)
-            .filter(|(upstream, _)| {
-                request.could_run(upstream, step) && !has_ticket(step, upstream.index, now)
-            })
-            .map(|(upstream, freed)| {
-                let free = (upstream.free + *freed).saturating_sub(&upstream.reserved);
-                QueryCandidate {
-                    id: upstream.id.clone(),
-                    known_allowed: step.tickets.contains_key(&upstream.index),
-                    near_data: request.is_near_data(upstream),
-                    task_capacity: free
-                        .slots_for(&allocation)
-                        .min(request.step_headroom(&upstream.id)),
-                }
-            })
-            .collect()
-    }
-
-    /// Computes the capacity that becomes free within a duration, once for each pass.
-    pub(super) fn ensure_freed_within(
+    /// Computes the capacity of a pool that becomes free within a duration, once for each pass.
+    pub(super) fn ensure_forecast(
         &self,
         now: u64,
         pool: &Arc<str>,
         within_ms: u64,
         view: &mut FleetView,
     ) {
-        let Some(pool) = view.pools.get_mut(pool) else {
+        let Some(found) = view.pools.get(pool) else {
             return;
         };
-        if !pool.freed_within.contains_key(&within_ms) {
-            let upstreams = pool.upstreams.iter();
-            let freed = upstreams
-                .map(|upstream| self.freed_within(now, &upstream.id, within_ms))
-                .collect();
-            pool.freed_within.insert(within_ms, freed);
+        if found.forecasts.contains_key(&within_ms) {
+            return;
+        }
+        let mut freed = vec![ResourceSize::ZERO; found.upstreams.len()];
+        for entry in self.upstreams.values() {
+            if entry.report.pool == *pool
+                && !entry.runs.is_empty()
+                && let Some(position) = view.position_of(entry.index)
+            {
+                freed[position] = entry.freed_within(now, within_ms);
+            }
+        }
+        let forecast = CapacityForecast::new(&found.upstreams, freed);
+        if let Some(pool) = view.pools.get_mut(pool) {
+            pool.forecasts.insert(within_ms, forecast);
         }
-    }
-
-    fn freed_within(&self, now: u64, id: &Arc<str>, within_ms: u64) -> ResourceSize {
-        self.upstreams.get(id).map_or(ResourceSize::ZERO, |entry| {
-            entry.freed_within(now, within_ms)
-        })
     }
 
     /// Handles the outcome of a query.
@@ -322,6 +311,31 @@
     }
 }
 
+/// Returns what a query about an upstream could bring; `None` if the step has a valid ticket there,
+/// or could not run there.
+fn query_candidate(
+    now: u64,
+    request: &PlacementRequest,
+    step: &StepEntry,
+    upstreams: &[UpstreamView],
+    forecast: &CapacityForecast,
+    position: usize,
+) -> Option<QueryCandidate> {
+    let upstream = upstreams.get(position)?;
+    if !request.could_run(upstream, step) || has_ticket(step, upstream.index, now) {
+        return None;
+    }
+    let free = (upstream.free + forecast.freed[position]).saturating_sub(&upstream.reserved);
+    Some(QueryCandidate {
+        position,
+        known_allowed: step.tickets.contains_key(&upstream.index),
+        near_data: request.is_near_data(upstream),
+        task_capacity: free
+            .slots_for(&request.allocation())
+            .min(request.step_headroom(&upstream.id)),
+    })
+}
+
 fn has_ticket(step: &StepEntry, index: UpstreamIndex, now: u64) -> bool {
     step.tickets
         .get(&index)
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -348,7 +348,10 @@
         let epoch = self.epoch;
         for effect in effects {
             match effect {
-                OwnerEffect::Renew(order) => self.push(ONE_WAY_MS, Event::Renew(order, self.now)),
+                OwnerEffect::Renew(order) => {
+                    self.summary.renewals += 1;
+                    self.push(ONE_WAY_MS, Event::Renew(order, self.now));
+                }
                 OwnerEffect::Start(order) => self.push(ONE_WAY_MS, Event::Start(order)),
                 OwnerEffect::Stop(order) => {
                     let reason = order.reason.label();
--- a/crates/model/src/simulation_summary.rs
+++ b/crates/model/src/simulation_summary.rs
@@ -70,6 +70,8 @@
     pub starts: u64,
     /// Number of runs that were stopped before they were done.
     pub stopped: u64,
+    /// Number of lease renewals sent.
+    pub renewals: u64,
     /// Number of stop orders by reason.
     pub stop_orders: BTreeMap<&'static str, u64>,
     /// Number of calls to the policy service, and the total time that they took, in milliseconds.
