--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -1,8 +1,10 @@
-//! Snapshot of the upstreams for one placement pass.
+//! Snapshot of the upstreams for placement passes.
 //!
 //! A pass examines many steps, and for each step the upstreams that may run it. The snapshot is
-//! built once for each pass, so the cost of a step depends on its number of candidates and not on
-//! the number of upstreams.
+//! built for each full pass, so the cost of a step depends on its number of candidates and not on
+//! the number of upstreams. The passes in between, which examine few steps, reuse it and update
+//! only the upstreams whose runs or reports have changed. An upstream that can no longer be used may stay in
+//! it until the next full pass; a planned run is checked again before it is started.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -95,8 +97,13 @@
     pub team_headrooms: HashMap<Arc<str>, ResourceSize>,
     /// Number of victim searches that the pass may still make.
     pub preemption_searches_left: u32,
+    /// When the forecasts of the pools were last discarded.
+    forecasts_since: u64,
 }
 
+/// Age from which a forecast is made again, in milliseconds.
+const MAX_FORECAST_AGE_MS: u64 = 50;
+
 impl FleetView {
     /// Returns an upstream's position in the view of its pool, or `None` if it accepts no starts.
     pub fn position_of(&self, index: UpstreamIndex) -> Option<usize> {
@@ -104,6 +111,24 @@
         position.map(|position| position as usize)
     }
 
+    /// Discards what applied to an earlier pass only.
+    fn begin_pass(&mut self, now: u64) {
+        self.team_headrooms.clear();
+        self.preemption_searches_left = super::preemption::MAX_PREEMPTION_SEARCHES;
+        let forecasts_expired = now >= self.forecasts_since + MAX_FORECAST_AGE_MS;
+        if forecasts_expired {
+            self.forecasts_since = now;
+        }
+        for pool in self.pools.values_mut() {
+            if forecasts_expired {
+                pool.forecasts.clear();
+            }
+            for upstream in &mut pool.upstreams {
+                upstream.reserved = ResourceSize::ZERO;
+            }
+        }
+    }
+
     /// Returns an upstream of a pool, or `None` if it accepts no starts.
     pub fn upstream(&self, pool: &str, index: UpstreamIndex) -> Option<&UpstreamView> {
         let position = self.position_of(index)?;
@@ -119,7 +144,54 @@
     }
 }
 
+/// The snapshot of the last pass.
+#[derive(Debug, Default)]
+pub(super) struct ViewCache {
+    /// The snapshot; `None` if it must be built again.
+    view: Option<FleetView>,
+    /// Upstreams whose runs or reports have changed since then.
+    changed: Vec<Arc<str>>,
+}
+
+impl ViewCache {
+    /// Records a change of an upstream's runs or of its report.
+    pub fn mark_changed(&mut self, upstream: &Arc<str>) {
+        if self.view.is_some() {
+            self.changed.push(upstream.clone());
+        }
+    }
+
+    /// Keeps the snapshot of a pass, which shows the changes that the pass itself made.
+    pub fn store(&mut self, view: FleetView) {
+        self.view = Some(view);
+    }
+
+    /// Discards the snapshot.
+    pub fn clear(&mut self) {
+        self.view = None;
+        self.changed.clear();
+    }
+}
+
 impl OwnerMachine {
+    /// Returns the snapshot of the last pass, updated, or a new one if there is none.
+    pub(super) fn reused_view(&mut self, now: u64) -> FleetView {
+        let changed = std::mem::take(&mut self.view_cache.changed);
+        let Some(mut view) = self.view_cache.view.take() else {
+            return self.fleet_view(now);
+        };
+        view.begin_pass(now);
+        for id in changed {
+            if let Some(entry) = self.upstreams.get(&id)
+                && let Some(upstream) = view.upstream_mut(&entry.report.pool, entry.index)
+            {
+                upstream.capacity = entry.report.capacity;
+                upstream.free = entry.free();
+            }
+        }
+        view
+    }
+
     /// Builds the snapshot of all upstreams.
     pub(super) fn fleet_view(&self, now: u64) -> FleetView {
         let mut view = FleetView {
@@ -127,6 +199,7 @@
             positions: vec![None; self.index_count as usize],
             team_headrooms: HashMap::new(),
             preemption_searches_left: super::preemption::MAX_PREEMPTION_SEARCHES,
+            forecasts_since: now,
         };
         for (id, entry) in &self.upstreams {
             if self
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -9,7 +9,7 @@
 };
 use crate::owner::commit_queue::CommitQueue;
 use crate::owner::due_queue::DueQueue;
-use crate::owner::fleet_view::UpstreamIndex;
+use crate::owner::fleet_view::{UpstreamIndex, ViewCache};
 use crate::owner::query_dispatcher::QueryDispatcher;
 use crate::owner::ready_list::ReadyList;
 use crate::owner::slot_claims::ClaimTable;
@@ -50,6 +50,8 @@
     pub(super) ready: ReadyList,
     /// Capacity claimed for gangs that are about to start.
     pub(super) claims: ClaimTable,
+    /// Snapshot of the upstreams that the last placement pass used.
+    pub(super) view_cache: ViewCache,
     /// Number of upstream indexes assigned so far.
     pub(super) index_count: u32,
     pub(super) queries: QueryDispatcher,
@@ -117,6 +119,7 @@
             team_usage: HashMap::new(),
             ready: ReadyList::default(),
             claims: ClaimTable::default(),
+            view_cache: ViewCache::default(),
             index_count: 0,
             queries: QueryDispatcher::default(),
             commits: CommitQueue::default(),
@@ -167,6 +170,7 @@
             }
         }
         self.evacuated_domains = evacuated_domains;
+        self.view_cache.clear();
         self.request_placement();
     }
 
@@ -209,6 +213,11 @@
                 entry.reported_at = now;
                 entry.slowdown += SLOWDOWN_DECAY * (self.mean_slowdown - entry.slowdown);
             }
+            if entry.report.pool == report.pool {
+                self.view_cache.mark_changed(&id);
+            } else {
+                self.view_cache.clear();
+            }
             entry.report = report;
             if restarted {
                 entry.schedule_renewal(now, &mut self.renewal_queue);
@@ -219,6 +228,7 @@
         entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.reported_at = now;
         self.upstreams.insert(id, entry);
+        self.view_cache.clear();
         self.roster_changed = true;
     }
 
@@ -323,6 +333,7 @@
             return;
         };
         entry.allocated += run.allocation;
+        self.view_cache.mark_changed(upstream);
         if let Some(team) = &run.team {
             *self.team_usage.entry(team.clone()).or_default() += run.demand;
         }
@@ -349,6 +360,7 @@
     ) -> Option<RunEntry> {
         let run = self.upstreams.get_mut(upstream)?.runs.remove(name)?;
         self.run_count -= 1;
+        self.view_cache.mark_changed(upstream);
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.allocated = entry.allocated.saturating_sub(&run.allocation);
         }
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -111,6 +111,7 @@
             entry.contact = ContactState::RecordedSilent;
         }
         self.upstreams.insert(id.clone(), entry);
+        self.view_cache.clear();
         self.awaiting_first_reply.insert(id, roster_entry);
     }
 
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -37,11 +37,17 @@
         if ready.is_empty() {
             return;
         }
-        let mut view = self.fleet_view(now);
+        let mut view = if scope == PlacementScope::All {
+            self.view_cache.clear();
+            self.fleet_view(now)
+        } else {
+            self.reused_view(now)
+        };
         self.claims.apply(now, &mut view);
         for step in ready {
             self.place_step(now, &step, &mut view);
         }
+        self.view_cache.store(view);
     }
 
     /// Returns whether the step has valid tickets or needs none.
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -136,6 +136,7 @@
                 .is_some_and(|entry| !entry.in_directory);
             if not_in_directory {
                 self.upstreams.remove(&id);
+                self.view_cache.clear();
                 self.roster_changed = true;
             }
         }
