Give the times of placement passes a type of their own

Cause: six fields of the owner and three intervals in the tick said when which pass runs. Change: PlacementSchedule holds them. No change of behaviour; tests pass.

--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod owner_machine;
 mod owner_settings;
 mod placement;
+mod placement_schedule;
 mod planned_start;
 mod policy_queries;
 mod preemption;
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -10,6 +10,7 @@
 use crate::owner::commit_queue::CommitQueue;
 use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::{UpstreamIndex, ViewCache};
+use crate::owner::placement_schedule::PlacementSchedule;
 use crate::owner::query_dispatcher::QueryDispatcher;
 use crate::owner::ready_list::ReadyList;
 use crate::owner::slot_claims::ClaimTable;
@@ -71,19 +72,7 @@
     pub(super) recovered_revision: u64,
     pub(super) next_archive_at: u64,
     pub(super) effects: Vec<OwnerEffect>,
-    /// Whether a change may have made a start possible since the last full placement pass.
-    pub(super) placement_pending: bool,
-    /// Earliest time of the next full placement pass.
-    pub(super) next_placement_at: u64,
-    /// Whether a change may have made an urgent start possible since the last full or urgent pass.
-    pub(super) urgent_placement_pending: bool,
-    /// Earliest time of the next urgent placement pass.
-    pub(super) next_urgent_placement_at: u64,
-    /// Earliest time of the next placement pass of fresh steps.
-    pub(super) next_fresh_placement_at: u64,
-    /// Whether urgent steps with tickets were waiting for capacity after the last full or urgent
-    /// pass. Capacity that becomes free is theirs before that of fresh steps.
-    pub(super) has_urgent_backlog: bool,
+    pub(super) placement: PlacementSchedule,
     pub(super) stepped_down: bool,
     /// Wall-clock time of the last tick, in milliseconds since 1970.
     pub(super) unix_ms: u64,
@@ -132,12 +121,7 @@
             recovered_revision: 0,
             next_archive_at: 0,
             effects: Vec::new(),
-            placement_pending: true,
-            next_placement_at: 0,
-            urgent_placement_pending: true,
-            next_urgent_placement_at: 0,
-            next_fresh_placement_at: 0,
-            has_urgent_backlog: false,
+            placement: PlacementSchedule::default(),
             stepped_down: false,
             unix_ms: 0,
             mean_slowdown: 0.0,
@@ -146,8 +130,7 @@
 
     /// Requests placement passes because a change may have made a start possible.
     pub(super) fn request_placement(&mut self) {
-        self.placement_pending = true;
-        self.urgent_placement_pending = true;
+        self.placement.request();
     }
 
     /// Returns the epoch of the owner.
--- a/crates/fleet/src/owner/ready_list.rs
+++ b/crates/fleet/src/owner/ready_list.rs
@@ -8,6 +8,7 @@
 
 use crate::model::{QueuePolicy, StepSpec, TaskName};
 use crate::owner::OwnerMachine;
+use crate::owner::placement_schedule::PlacementScope;
 use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
 
 /// Multiple of the objective after which the completion of a submission is no longer useful to its
@@ -25,19 +26,6 @@
     TooLate,
 }
 
-/// Which steps a placement pass examines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum PlacementScope {
-    /// All steps.
-    All,
-    /// Steps of the highest priority that can still meet their objective. They come first in the
-    /// scheduling order, so that such a pass takes nothing that a full pass would give to another
-    /// step.
-    Urgent,
-    /// Urgent steps that became ready, or got tickets, since the last pass.
-    Fresh,
-}
-
 /// A step with tasks that may start.
 #[derive(Clone, Debug)]
 pub(super) struct ReadyStep {
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -12,7 +12,8 @@
 use crate::owner::OwnerMachine;
 use crate::owner::fleet_view::FleetView;
 use crate::owner::placement::PlacementRequest;
-use crate::owner::ready_list::{DeadlineStatus, PlacementScope, ReadyStep};
+use crate::owner::placement_schedule::PlacementScope;
+use crate::owner::ready_list::{DeadlineStatus, ReadyStep};
 use crate::owner::slot_claims::StepKey;
 use crate::owner::submission_entry::{StepEntry, TaskPhase};
 use crate::owner::upstream_entry::RunPhase;
@@ -27,12 +28,8 @@
     pub(super) fn place(&mut self, now: u64, unix_ms: u64, scope: PlacementScope) {
         let mut ready = self.ready_steps(now, unix_ms, scope);
         ready.retain(|step| !self.awaits_tickets(now, step));
-        if scope == PlacementScope::Fresh {
-            if self.has_urgent_backlog {
-                ready.retain(|step| !self.has_tickets(now, step));
-            }
-        } else {
-            self.has_urgent_backlog = false;
+        if scope == PlacementScope::Fresh && self.placement.has_urgent_backlog {
+            ready.retain(|step| !self.has_tickets(now, step));
         }
         if ready.is_empty() {
             return;
@@ -93,7 +90,7 @@
             self.arrange_gang(now, ready, &request, claim, view);
             return;
         }
-        self.has_urgent_backlog |= ready.priority == 0
+        self.placement.has_urgent_backlog |= ready.priority == 0
             && ready.deadline_status(now) == DeadlineStatus::OnTime
             && self.has_tickets(now, ready);
         if request.needs_ticket {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -6,26 +6,12 @@
 use crate::owner::commit_queue::{
     CommitPriority, ENTRIES_PER_ENDED, ENTRIES_PER_PROGRESS, MAX_COMMIT_ENTRIES,
 };
-use crate::owner::ready_list::PlacementScope;
 use crate::owner::upstream_entry::{ContactState, RunPhase};
 use crate::owner::{
     CommitBatch, CommitOutcome, EndedSubmission, OwnerEffect, OwnerMachine, RenewOrder,
     RosterEntry, StopOrder, StopReason,
 };
 
-/// Number of upstreams per millisecond of the minimum interval between full placement passes. A pass
-/// takes longer with more upstreams, so larger fleets run it less often; runs that finish in
-/// between share one pass.
-const UPSTREAMS_PER_INTERVAL_MS: u64 = 12;
-
-/// Number of upstreams per millisecond of the minimum interval between placement passes of urgent
-/// steps.
-const UPSTREAMS_PER_URGENT_INTERVAL_MS: u64 = 25;
-
-/// Number of upstreams per millisecond of the minimum interval between placement passes of fresh
-/// steps, of which there are few.
-const UPSTREAMS_PER_FRESH_INTERVAL_MS: u64 = 125;
-
 /// Time between two searches for silent upstreams and expired leases, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 25;
 
@@ -62,27 +48,13 @@
     /// Runs the placement pass with the widest scope that is due, if any.
     fn run_placement(&mut self, now: u64, unix_ms: u64) {
         let due = self.ready.next_due_unix_ms();
-        let wanted = self.placement_pending || due.is_some_and(|due| unix_ms >= due);
-        let upstream_count = self.upstreams.len() as u64;
-        let scope = if wanted && now >= self.next_placement_at {
-            PlacementScope::All
-        } else if self.urgent_placement_pending && now >= self.next_urgent_placement_at {
-            PlacementScope::Urgent
-        } else if self.ready.has_fresh() && now >= self.next_fresh_placement_at {
-            PlacementScope::Fresh
-        } else {
-            return;
-        };
-        if scope == PlacementScope::All {
-            self.placement_pending = false;
-            self.next_placement_at = now + upstream_count / UPSTREAMS_PER_INTERVAL_MS;
+        if due.is_some_and(|due| unix_ms >= due) {
+            self.placement.request_full();
         }
-        if scope != PlacementScope::Fresh {
-            self.urgent_placement_pending = false;
-            self.next_urgent_placement_at = now + upstream_count / UPSTREAMS_PER_URGENT_INTERVAL_MS;
+        let (upstream_count, has_fresh) = (self.upstreams.len(), self.ready.has_fresh());
+        if let Some(scope) = self.placement.take_due(now, upstream_count, has_fresh) {
+            self.place(now, unix_ms, scope);
         }
-        self.next_fresh_placement_at = now + upstream_count / UPSTREAMS_PER_FRESH_INTERVAL_MS;
-        self.place(now, unix_ms, scope);
     }
 
     /// Returns the time at which the next tick is due at the latest.
@@ -94,15 +66,8 @@
         for next in [self.renewal_queue.next_at(), self.stop_queue.next_at()] {
             due = due.min(next.unwrap_or(due));
         }
-        if self.placement_pending {
-            due = due.min(self.next_placement_at);
-        }
-        if self.urgent_placement_pending {
-            due = due.min(self.next_urgent_placement_at);
-        }
-        if self.ready.has_fresh() {
-            due = due.min(self.next_fresh_placement_at);
-        }
+        let next_pass_at = self.placement.next_due_at(self.ready.has_fresh());
+        due = due.min(next_pass_at.unwrap_or(due));
         if !self.commits.is_empty() {
             due = due.min(self.commits.last_sent_at() + self.settings.commit_interval_ms);
         }
@@ -408,7 +373,7 @@
                 self.roster_changed |= batch.roster.is_some();
             }
             CommitOutcome::Stored => {
-                self.placement_pending = true;
+                self.placement.request_full();
                 for id in ids {
                     self.mark_stored(now, &id, batch);
                 }
