Give up tasks that crash the upstreams that start them

Cause: an upstream's end released all its runs alike and they started again; nothing counted ends by task, and max_attempts counts only failures that an upstream reports. Class: an unbounded retry whose failure domain is larger than the retried unit.

Evidence: one task was started 13 times, each time on another upstream, 3.5 s apart; 135 answers of another incarnation. Ruled out: repeated orders to the same upstream (it is down for 3 s, orders end after 250 ms).

Change: crashes are recorded by attempt in the stored progress; suspects of a submission run together on an upstream of their own; the submission fails after two confirmed crashes if nothing else was running at the last, or after three. Ends of several upstreams within a second blame nobody the first time. The stored roster names the incarnation that runs were placed on.

Tests: crashes.rs; three of five seen to fail with the mechanism off, the other two guard the opposite.

--- a/crates/fleet/src/model/mod.rs
+++ b/crates/fleet/src/model/mod.rs
@@ -10,7 +10,9 @@
     ApprovedConfig, PolicyTiming, PoolPolicy, QueuePolicy, RequestLimits, TeamPolicy,
 };
 pub use lagoonnotch::model::ResourceSize;
-pub use progress_record::{ProgressRecord, RunRecord, StepProgress, SubmissionState};
+pub use progress_record::{
+    CrashRecord, CrashScope, ProgressRecord, RunRecord, StepProgress, SubmissionState,
+};
 pub use submission_record::{StepSpec, SubmissionRecord};
 pub use task_name::TaskName;
 pub use upstream_report::{
--- a/crates/fleet/src/model/progress_record.rs
+++ b/crates/fleet/src/model/progress_record.rs
@@ -28,6 +28,42 @@
     }
 }
 
+/// How many others may have caused a crash of an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CrashScope {
+    /// Only runs of the task's own submission were present.
+    Alone,
+    /// Runs of other submissions were present.
+    Shared,
+    /// Several upstreams ended at about the same time, as if for a common cause.
+    Widespread,
+}
+
+impl CrashScope {
+    /// Returns the label of the scope in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Alone => "alone",
+            Self::Shared => "shared",
+            Self::Widespread => "widespread",
+        }
+    }
+}
+
+/// A crash of an upstream while a task was running there.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CrashRecord {
+    /// Attempt that was running. It is kept because a crash may be noticed again by the next owner.
+    pub attempt: u32,
+    /// Upstream that crashed.
+    pub upstream: Arc<str>,
+    /// Whether the upstream is known to have started the run.
+    pub confirmed: bool,
+    /// What else may have caused the crash.
+    pub scope: CrashScope,
+}
+
 /// Progress of one step of one occurrence.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StepProgress {
@@ -40,6 +76,9 @@
     /// Indexes of tasks with failed runs, and the attempts that failed. Attempt numbers are kept
     /// instead of counts because upstreams may list a finished run again to the next owner.
     pub failed: Vec<(u32, Vec<u32>)>,
+    /// Indexes of tasks whose upstreams crashed, and the crashes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<(u32, Vec<CrashRecord>)>,
 }
 
 /// A run that was placed on an upstream when the record was written.
--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::model::TaskName;
+use crate::model::{CrashScope, TaskName};
 use crate::owner::{CommitBatch, StopReason};
 
 /// An order to renew an upstream's leases; the reply lists running and finished runs.
@@ -78,6 +78,20 @@
     pub timeout_ms: u64,
 }
 
+/// A crash of an upstream and the tasks that were running there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashReport {
+    /// Identifier of the upstream.
+    pub upstream: Arc<str>,
+    /// What may have caused the crash.
+    pub scope: CrashScope,
+    /// Tasks that were running.
+    pub tasks: Vec<TaskName>,
+    /// Tasks whose submissions are given up because of this and earlier crashes, with the upstreams
+    /// that crashed.
+    pub given_up: Vec<(TaskName, Vec<Arc<str>>)>,
+}
+
 /// An action that the owner's host executes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEffect {
@@ -91,6 +105,8 @@
     Query(QueryOrder),
     /// Write progress to the store.
     Commit(CommitBatch),
+    /// Report a crash of an upstream.
+    ReportCrash(CrashReport),
     /// Stop acting as the owner: another host has used a higher epoch.
     StepDown,
 }
--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -28,6 +28,8 @@
     pub free: ResourceSize,
     /// Capacity reserved for earlier steps; later steps must not use it.
     pub reserved: ResourceSize,
+    /// Whether it has no runs.
+    pub is_empty: bool,
     /// Whether its runs take much longer than on other upstreams.
     pub slow: bool,
 }
@@ -129,6 +131,14 @@
         }
     }
 
+    /// Lets no other step use an upstream of a pool.
+    pub fn close(&mut self, pool: &str, position: usize) {
+        let pool = self.pools.get_mut(pool);
+        if let Some(upstream) = pool.and_then(|pool| pool.upstreams.get_mut(position)) {
+            upstream.free = ResourceSize::ZERO;
+        }
+    }
+
     /// Returns an upstream of a pool, or `None` if it accepts no starts.
     pub fn upstream(&self, pool: &str, index: UpstreamIndex) -> Option<&UpstreamView> {
         let position = self.position_of(index)?;
@@ -186,7 +196,12 @@
                 && let Some(upstream) = view.upstream_mut(&entry.report.pool, entry.index)
             {
                 upstream.capacity = entry.report.capacity;
-                upstream.free = entry.free();
+                upstream.is_empty = entry.runs.is_empty();
+                upstream.free = if now < entry.isolated_until {
+                    ResourceSize::ZERO
+                } else {
+                    entry.free()
+                };
             }
         }
         view
@@ -221,6 +236,7 @@
                 capacity: entry.report.capacity,
                 free: entry.free(),
                 reserved: ResourceSize::ZERO,
+                is_empty: entry.runs.is_empty(),
                 slow: self.is_slow(entry.slowdown),
             });
         }
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -47,6 +47,8 @@
             entry.schedule_renewal(now, &mut self.renewal_queue);
             return;
         }
+        let fell_at = entry.silent_since.take().unwrap_or(now);
+        let victims = entry.take_crash_victims(reply);
         if restarted {
             self.reset_incarnation(upstream);
         }
@@ -62,6 +64,9 @@
         entry.run_list_incarnation = Some(reply.incarnation_unix_ms);
         let any_finished = self.process_finished(now, upstream, &reply.finished);
         self.process_running(now, sent_at, upstream, &reply.running);
+        if !victims.is_empty() {
+            self.record_crash(now, fell_at, upstream, &victims);
+        }
         self.stop_stalled_runs(now, upstream);
         if is_first_list {
             self.awaiting_first_reply.remove(upstream);
@@ -93,6 +98,7 @@
         const FAILED_RENEWAL_DELAY_MS: u64 = 300;
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.renewal_in_flight = false;
+            entry.silent_since.get_or_insert(now);
             entry.schedule_renewal(now + FAILED_RENEWAL_DELAY_MS, &mut self.renewal_queue);
         }
     }
@@ -119,9 +125,17 @@
 
     /// Handles the end of an upstream's incarnation: none of its runs exist any more.
     pub(super) fn on_incarnation_ended(&mut self, now: u64, upstream: &Arc<str>) {
+        let entry = self.upstreams.get_mut(upstream);
+        let (fell_at, victims) = entry.map_or((now, Vec::new()), |entry| {
+            let fell_at = entry.silent_since.take().unwrap_or(now);
+            (fell_at, entry.take_ended_victims())
+        });
         self.reset_incarnation(upstream);
         self.release_all(now, upstream);
         self.awaiting_first_reply.remove(upstream);
+        if !victims.is_empty() {
+            self.record_crash(now, fell_at, upstream, &victims);
+        }
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.renewal_in_flight = false;
             entry.run_list_incarnation = None;
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -8,6 +8,7 @@
 //! 1970.
 
 mod commit_queue;
+mod crash_suspects;
 mod due_queue;
 mod effect;
 mod fleet_view;
@@ -35,7 +36,7 @@
 mod upstream_entry;
 
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
-pub use effect::{OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder};
+pub use effect::{CrashReport, OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder};
 pub use owner_machine::OwnerMachine;
 pub use owner_settings::OwnerSettings;
 pub use query_dispatcher::{PolicyDecision, QueryOutcome};
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -8,6 +8,7 @@
     UpstreamReport,
 };
 use crate::owner::commit_queue::CommitQueue;
+use crate::owner::crash_suspects::CrashHistory;
 use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::{UpstreamIndex, ViewCache};
 use crate::owner::placement_schedule::PlacementSchedule;
@@ -59,6 +60,10 @@
     pub(super) commits: CommitQueue,
     /// Upstreams that may hold leases of an earlier owner and have not answered since the takeover.
     pub(super) awaiting_first_reply: BTreeMap<Arc<str>, RosterEntry>,
+    /// Recent crashes of upstreams, in the order in which they were noticed.
+    pub(super) crashes: CrashHistory,
+    /// Time at which the last suspects no longer run apart.
+    pub(super) isolation_ends_at: u64,
     /// Time of the takeover.
     pub(super) took_over_at: u64,
     /// Time by which every lease of earlier owners has expired.
@@ -113,6 +118,8 @@
             queries: QueryDispatcher::default(),
             commits: CommitQueue::default(),
             awaiting_first_reply: BTreeMap::new(),
+            crashes: CrashHistory::default(),
+            isolation_ends_at: 0,
             took_over_at: 0,
             recovery_ends_at: 0,
             roster_changed: false,
@@ -192,6 +199,9 @@
         let id = report.id.clone();
         if let Some(entry) = self.upstreams.get_mut(&id) {
             let restarted = entry.report.incarnation_unix_ms != report.incarnation_unix_ms;
+            if report.draining {
+                entry.drained_incarnation = Some(report.incarnation_unix_ms);
+            }
             if restarted || entry.report.sequence != report.sequence {
                 entry.reported_at = now;
                 entry.slowdown += SLOWDOWN_DECAY * (self.mean_slowdown - entry.slowdown);
@@ -346,6 +356,9 @@
         self.view_cache.mark_changed(upstream);
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.allocated = entry.allocated.saturating_sub(&run.allocation);
+            if entry.runs.is_empty() {
+                entry.isolated_until = 0;
+            }
         }
         if let Some(usage) = run
             .team
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -9,6 +9,7 @@
 
 use crate::model::{ResourceSize, StepSpec, SubmissionRecord};
 use crate::owner::OwnerMachine;
+use crate::owner::crash_suspects::SuspectPhase;
 use crate::owner::fleet_view::{FleetView, PoolView, UpstreamIndex, UpstreamView};
 use crate::owner::ready_list::ReadyStep;
 use crate::owner::submission_entry::{StepEntry, TaskPhase};
@@ -30,6 +31,19 @@
     pub needs_ticket: bool,
     /// Attempt number shared by the members of a gang.
     pub gang_attempt: Option<u32>,
+    /// Whether the tasks may have crashed an upstream and must run apart.
+    pub isolation: Isolation,
+}
+
+/// Whether tasks must run on an upstream of their own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Isolation {
+    /// They may run anywhere.
+    None,
+    /// They must run together on one upstream without other runs.
+    Strict,
+    /// They must run together on one upstream, preferably without other runs.
+    Preferred,
 }
 
 impl PlacementRequest {
@@ -85,6 +99,7 @@
     /// runs.
     pub fn could_run(&self, upstream: &UpstreamView, step: &StepEntry) -> bool {
         self.has_label(upstream)
+            && (self.isolation != Isolation::Strict || upstream.is_empty)
             && !step.denied.contains(&upstream.index)
             && self.allocation().fits(&upstream.capacity)
             && self.step_headroom(&upstream.id) > 0
@@ -147,7 +162,15 @@
             placed_counts: HashMap::new(),
             needs_ticket: ready.queue.policy_service.is_some(),
             gang_attempt: None,
+            isolation: Isolation::None,
         };
+        let suspects = entry.suspect_phase(now);
+        let isolates = suspects != SuspectPhase::None && !request.spec().gang;
+        // Long-running tasks must restart soon, so they do not wait for others.
+        let holds_others = isolates && !request.spec().long_running;
+        if holds_others && suspects == SuspectPhase::Isolated {
+            return Some(request);
+        }
         if request.spec().gang {
             let highest = step.tasks.iter().map(|task| task.attempt).max();
             request.gang_attempt = highest.map(|attempt| self.next_attempt(attempt));
@@ -161,6 +184,9 @@
             {
                 continue;
             }
+            if isolates && task.is_suspect() {
+                request.isolation = Isolation::Strict;
+            }
             request.startable.push(index);
             let since = task.not_before.max(entry.known_at);
             request.waiting_since = request.waiting_since.min(since);
@@ -168,6 +194,18 @@
                 request.avoided_upstreams.insert(index, upstream.clone());
             }
         }
+        if request.isolation == Isolation::Strict {
+            let is_suspect = |index: &u32| step.tasks[*index as usize].is_suspect();
+            request.startable.retain(is_suspect);
+            let waits = request.startable.iter();
+            let wait_ms = waits.map(|index| step.tasks[*index as usize].isolation_wait_ms());
+            let longest_ms = wait_ms.max().unwrap_or(0);
+            if now.saturating_sub(request.waiting_since) >= longest_ms {
+                request.isolation = Isolation::Preferred;
+            }
+        } else if holds_others {
+            request.startable.clear();
+        }
         if request.spec().gang && request.startable.len() < step.tasks.len() {
             request.startable.clear();
         }
@@ -190,7 +228,17 @@
             return Vec::new();
         };
         let mut candidates = candidates(now, request, step, view, pool);
-        if request.spec().rack_local {
+        if request.isolation != Isolation::None {
+            candidates.sort_by_key(|candidate| {
+                let upstream = &pool.upstreams[candidate.position];
+                (
+                    !upstream.is_empty,
+                    candidate.cost.0,
+                    std::cmp::Reverse(candidate.cost.2),
+                )
+            });
+            candidates.truncate(1);
+        } else if request.spec().rack_local {
             prefer_one_rack(&mut candidates, pool, request.startable.len() as u64);
         } else {
             candidates.sort_by_key(|candidate| candidate.cost);
@@ -259,6 +307,7 @@
     let unreserved = upstream.unreserved();
     if !allocation.fits(&unreserved)
         || !request.has_label(upstream)
+        || (request.isolation == Isolation::Strict && !upstream.is_empty)
         || step.denied.contains(&upstream.index)
     {
         return None;
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -103,6 +103,7 @@
         );
         entry.in_directory = false;
         entry.in_stored_roster = true;
+        entry.runs_incarnation = Some(roster_entry.incarnation_unix_ms);
         entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.leases_expire_at = self.recovery_ends_at;
         if let Some(leases_expire_unix_ms) = roster_entry.leases_expire_unix_ms {
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -11,7 +11,7 @@
 
 use crate::owner::OwnerMachine;
 use crate::owner::fleet_view::FleetView;
-use crate::owner::placement::PlacementRequest;
+use crate::owner::placement::{Isolation, PlacementRequest};
 use crate::owner::placement_schedule::PlacementScope;
 use crate::owner::ready_list::{DeadlineStatus, ReadyStep};
 use crate::owner::slot_claims::StepKey;
@@ -79,9 +79,16 @@
         }
         let choices = self.choose_upstreams(now, ready, &request, view);
         let unplaced = request.startable.len() - choices.len();
+        let isolated = choices
+            .first()
+            .filter(|_| request.isolation != Isolation::None);
+        let isolated = isolated.map(|(_, position)| *position);
         for (index, position) in choices {
             self.plan_task(now, ready, index, position, &request, view);
         }
+        if let Some(position) = isolated {
+            view.close(&ready.queue.pool, position);
+        }
         if unplaced == 0 {
             self.recheck_if_none_waiting(ready);
             return;
@@ -96,6 +103,9 @@
         if request.needs_ticket {
             self.query_for_step(now, ready, &request, unplaced, view);
         }
+        if request.isolation != Isolation::None {
+            return;
+        }
         self.preempt_for(now, ready, &request, unplaced, view);
         if request.spec().long_running {
             self.reserve_capacity(ready, &request, unplaced, view);
@@ -170,7 +180,11 @@
         {
             *headroom = headroom.saturating_sub(&run.demand);
         }
+        target.is_empty = false;
         self.allocate(&upstream, &name, run);
+        if request.isolation != Isolation::None {
+            self.isolate(now, &upstream, &ready.submission);
+        }
         if let Some(task) = self.task_mut(&name) {
             task.phase = TaskPhase::Placed;
             task.attempt = attempt;
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use crate::model::{
-    ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState, TaskName,
+    CrashRecord, ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState,
+    TaskName,
 };
 use crate::owner::fleet_view::UpstreamIndex;
 
@@ -28,6 +29,8 @@
     pub attempt: u32,
     /// Attempts that failed on their own, as opposed to being stopped.
     pub failed: BTreeSet<u32>,
+    /// Crashes of upstreams while the task was running there.
+    pub crashes: Vec<CrashRecord>,
     /// Upstream of the run; set only in phase `Placed`.
     pub upstream: Option<Arc<str>>,
     /// Number of allocated runs on all upstreams; the task is started only if there are none.
@@ -112,6 +115,10 @@
     pub allocated_runs: u32,
     /// Number of allocated runs that are not recorded in the store yet.
     pub planned_runs: u32,
+    /// Whether an upstream has crashed while a task was running there.
+    pub has_crashes: bool,
+    /// Time until which the submission's suspects run apart; its other tasks wait until then.
+    pub isolated_until: u64,
     /// Whether the submission's other records are deleted from the store.
     pub archived: bool,
 }
@@ -140,6 +147,8 @@
             final_state_stored_at: 0,
             allocated_runs: 0,
             planned_runs: 0,
+            has_crashes: false,
+            isolated_until: 0,
             archived: false,
         }
     }
@@ -206,6 +215,12 @@
                     task.failed = failed.iter().copied().collect();
                 }
             }
+            for (index, crashes) in &stored_step.crashed {
+                if let Some(task) = step.tasks.get_mut(*index as usize) {
+                    task.crashes.clone_from(crashes);
+                    self.has_crashes = true;
+                }
+            }
             step.done = u32::try_from(stored_step.done.len()).unwrap_or(u32::MAX);
         }
     }
@@ -242,6 +257,9 @@
                     .failed
                     .push((index, task.failed.iter().copied().collect()));
             }
+            if !task.crashes.is_empty() && task.phase != TaskPhase::Done {
+                stored_step.crashed.push((index, task.crashes.clone()));
+            }
             if let Some(upstream) = &task.upstream {
                 progress.runs.push(RunRecord {
                     occurrence,
@@ -252,7 +270,10 @@
                 });
             }
         }
-        if !stored_step.done.is_empty() || !stored_step.failed.is_empty() {
+        let is_empty = stored_step.done.is_empty()
+            && stored_step.failed.is_empty()
+            && stored_step.crashed.is_empty();
+        if !is_empty {
             progress.steps.push(stored_step);
         }
     }
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -47,6 +47,11 @@
 
     /// Runs the placement pass with the widest scope that is due, if any.
     fn run_placement(&mut self, now: u64, unix_ms: u64) {
+        if self.isolation_ends_at > 0 && now >= self.isolation_ends_at {
+            self.isolation_ends_at = 0;
+            self.view_cache.clear();
+            self.request_placement();
+        }
         let due = self.ready.next_due_unix_ms();
         if due.is_some_and(|due| unix_ms >= due) {
             self.placement.request_full();
@@ -94,6 +99,9 @@
             .collect();
         for id in expired {
             self.awaiting_first_reply.remove(&id);
+            if let Some(entry) = self.upstreams.get_mut(&id) {
+                entry.expired_runs = entry.crash_victims();
+            }
             self.release_all(now, &id);
             let not_in_directory = self
                 .upstreams
@@ -352,7 +360,7 @@
                 pool: entry.report.pool.clone(),
                 address: entry.report.address.clone(),
                 failure_domain: entry.report.failure_domain.clone(),
-                incarnation_unix_ms: entry.report.incarnation_unix_ms,
+                incarnation_unix_ms: entry.stored_incarnation(),
                 leases_expire_unix_ms: (entry.contact == ContactState::RecordedSilent)
                     .then(|| self.unix_ms + entry.leases_expire_at.saturating_sub(now)),
             })
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -5,6 +5,7 @@
 
 use crate::model::{ResourceSize, TaskName, UpstreamReport};
 use crate::owner::StopReason;
+use crate::owner::crash_suspects::CrashVictim;
 use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::UpstreamIndex;
 
@@ -143,6 +144,16 @@
     /// Time of the last reply to a renewal, or of the last confirmed start; 0 if this owner has had
     /// none.
     pub answered_at: u64,
+    /// Start of the incarnation that the runs were placed on; `None` before the first reply.
+    pub runs_incarnation: Option<u64>,
+    /// The last incarnation that reported that it is about to leave.
+    pub drained_incarnation: Option<u64>,
+    /// Time of the first failed renewal since the last reply.
+    pub silent_since: Option<u64>,
+    /// Runs that were released because their leases had expired while the upstream was silent.
+    pub expired_runs: Vec<CrashVictim>,
+    /// Time until which nothing else is placed beside the suspects that run here.
+    pub isolated_until: u64,
     /// Submissions with a failed run since the last completed run.
     pub failed_submissions: Vec<Arc<str>>,
     /// Smoothed ratio of actual to estimated run time; drifts towards the fleet's mean with each
@@ -181,6 +192,11 @@
             next_renewal_at: 0,
             renewal_queued_at: None,
             answered_at: 0,
+            runs_incarnation: None,
+            drained_incarnation: None,
+            silent_since: None,
+            expired_runs: Vec::new(),
+            isolated_until: 0,
             failed_submissions: Vec::new(),
             slowdown: 0.0,
             quarantined_until: 0,
@@ -225,6 +241,7 @@
             && self.unknown_runs == 0
             && now >= self.backoff_until
             && now >= self.quarantined_until
+            && now >= self.isolated_until
             && (self.quarantine_count == 0 || self.runs.is_empty())
     }
 
@@ -272,6 +289,13 @@
         true
     }
 
+    /// Returns the start of the incarnation that a successor must know of: the one that the runs
+    /// were placed on, so that the successor notices if it has ended, or else the reported one.
+    pub fn stored_incarnation(&self) -> u64 {
+        let placed_on = self.runs_incarnation.filter(|_| !self.runs.is_empty());
+        placed_on.unwrap_or(self.report.incarnation_unix_ms)
+    }
+
     /// Returns whether any of the runs is urgent.
     pub fn has_urgent_runs(&self) -> bool {
         self.runs.values().any(|run| run.urgent)
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod commits;
+mod crashes;
 mod fixtures;
 mod gangs;
 mod invariant_checks;
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -8,8 +8,9 @@
     SubmissionRecord, SubmissionState, TaskName,
 };
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision,
-    QueryOutcome, RecoveredState, RenewOrder, RosterEntry, StartOrder, StopOrder, StoredSubmission,
+    CommitBatch, CommitOutcome, CrashReport, OwnerEffect, OwnerMachine, OwnerSettings,
+    PolicyDecision, QueryOutcome, RecoveredState, RenewOrder, RosterEntry, StartOrder, StopOrder,
+    StoredSubmission,
 };
 
 use crate::fixtures::report;
@@ -18,6 +19,9 @@
 /// Interval between two ticks of the owner, in milliseconds.
 const TICK_MS: u64 = 5;
 
+/// Time after which a crashed upstream is back, in milliseconds.
+const DOWNTIME_MS: u64 = 3000;
+
 /// Deterministic random source.
 #[derive(Clone, Debug)]
 pub struct RandomSource(pub u64);
@@ -119,6 +123,10 @@
     pub run_ms: Option<u64>,
     /// Whether commits are neither stored nor replied to.
     pub store_unavailable: bool,
+    /// Tasks that crash the upstream that starts them.
+    pub deadly: BTreeSet<TaskName>,
+    /// Crashes that the owner reported.
+    pub crashes: Vec<CrashReport>,
 }
 
 impl FleetSimulation {
@@ -162,6 +170,8 @@
             allowed: None,
             run_ms: None,
             store_unavailable: false,
+            deadly: BTreeSet::new(),
+            crashes: Vec::new(),
         }
     }
 
@@ -243,6 +253,12 @@
         }
     }
 
+    /// Crashes an upstream; it is back under the same identifier after `DOWNTIME_MS`.
+    pub fn crash_upstream(&mut self, id: &Arc<str>) {
+        self.restart_upstream(id);
+        self.partitioned.insert(id.clone(), self.now + DOWNTIME_MS);
+    }
+
     pub fn run_until(&mut self, end: u64) {
         while self.now < end {
             self.now += TICK_MS;
@@ -341,6 +357,7 @@
                 });
                 self.push(500, Message::QueryDone(epoch, order.query_id, answer));
             }
+            OwnerEffect::ReportCrash(report) => self.crashes.push(report),
             OwnerEffect::StepDown => {}
         }
     }
@@ -474,6 +491,9 @@
             return;
         };
         let outcome = upstream.start(now, &order, size, (duration, end));
+        if outcome == StartOutcome::Started && self.deadly.contains(&order.task) {
+            self.crash_upstream(&order.upstream);
+        }
         if self.random.chance(self.faults.lost_replies) {
             self.push(800, Message::Started(order, StartOutcome::Unknown));
         } else {
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -5,8 +5,8 @@
 
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome, RenewOrder,
-    StartOrder, StopOrder,
+    CommitBatch, CommitOutcome, CrashReport, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome,
+    RenewOrder, StartOrder, StopOrder,
 };
 use serde_json::json;
 
@@ -79,10 +79,28 @@
                 let commit = async move { runner.commit(epoch, batch).await };
                 tokio::spawn(measured(WorkKind::Commits, commit));
             }
+            OwnerEffect::ReportCrash(report) => self.report_crash(&report),
             OwnerEffect::StepDown => {}
         }
     }
 
+    fn report_crash(&self, report: &CrashReport) {
+        self.metrics.count_crash(report.scope.label());
+        let tasks: Vec<_> = report.tasks.iter().map(ToString::to_string).collect();
+        FleetEvent::UpstreamCrashed.emit(json!({
+            "upstream": report.upstream,
+            "scope": report.scope.label(),
+            "tasks": tasks,
+        }));
+        for (task, upstreams) in &report.given_up {
+            FleetEvent::SubmissionGivenUp.emit(json!({
+                "request": task.submission,
+                "task": task.to_string(),
+                "crashed": upstreams,
+            }));
+        }
+    }
+
     async fn renew_leases(&self, order: RenewOrder, valid_until: u64) {
         let sent_at = now_ms();
         let outcome = if sent_at < valid_until {
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -113,6 +113,10 @@
     StopOrdered = 1063, Info;
     /// A lease renewal on an upstream failed, was rejected, or was not sent.
     UpstreamSilent = 1064, Warn;
+    /// An upstream crashed while tasks were running there; these may have caused it.
+    UpstreamCrashed = 1065, Warn;
+    /// A submission failed because upstreams crashed repeatedly while one of its tasks was running.
+    SubmissionGivenUp = 1066, Warn;
     /// A commit of progress failed or its outcome is unknown.
     CommitFailed = 1070, Warn;
     /// A submission's final state was stored.
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -32,6 +32,12 @@
     reason: &'static str,
 }
 
+/// Label that carries the scope of a crash.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ScopeLabel {
+    scope: &'static str,
+}
+
 /// Label that carries the kind of work.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct WorkLabel {
@@ -68,6 +74,7 @@
     orders: Family<KindLabel, Counter>,
     stops: Family<ReasonLabel, Counter>,
     commits: Family<KindLabel, Counter>,
+    crashes: Family<ScopeLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
     owner_epoch: Gauge<u64, AtomicU64>,
@@ -84,6 +91,7 @@
             orders: Family::default(),
             stops: Family::default(),
             commits: Family::default(),
+            crashes: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
             owner_epoch: Gauge::default(),
@@ -111,6 +119,11 @@
         registry.register("orders", "Orders to upstreams", self.orders.clone());
         registry.register("stops", "Stop orders to upstreams", self.stops.clone());
         registry.register("commits", "Commits of progress", self.commits.clone());
+        registry.register(
+            "crashes",
+            "Upstreams that crashed while tasks were running there",
+            self.crashes.clone(),
+        );
         registry.register(
             "active_submissions",
             "Submissions without a final state, at the owner",
@@ -165,6 +178,11 @@
         self.commits.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a crash of an upstream, by scope.
+    pub fn count_crash(&self, scope: &'static str) {
+        self.crashes.get_or_create(&ScopeLabel { scope }).inc();
+    }
+
     /// Sets the numbers of active submissions and of runs that hold resources.
     pub fn set_load(&self, submissions: usize, runs: usize) {
         self.active_submissions.set(submissions as u64);
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -360,7 +360,7 @@
                 }
                 OwnerEffect::Commit(batch) => self.push(COMMIT_MS, Event::Commit(epoch, batch)),
                 OwnerEffect::Query(order) => self.query_policy(epoch, &order),
-                OwnerEffect::StepDown => {}
+                OwnerEffect::ReportCrash(_) | OwnerEffect::StepDown => {}
             }
         }
     }
