Start nothing on an upstream that has shrunk below what it runs

What could happen: an upstream's capacity may shrink while it runs. A run that was planned before and started after the report brought it over its capacity, as did a report that was read late and named the old one.

Cause: a planned run was checked for reachability but not for room when its commit was stored; any report of an incarnation replaced the one before, whatever its sequence number.

--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -199,6 +199,10 @@
         let id = report.id.clone();
         if let Some(entry) = self.upstreams.get_mut(&id) {
             let restarted = entry.report.incarnation_unix_ms != report.incarnation_unix_ms;
+            // A report that was read late says nothing about the present capacity.
+            if !restarted && report.sequence < entry.report.sequence {
+                return;
+            }
             if report.draining {
                 entry.drained_incarnation = Some(report.incarnation_unix_ms);
             }
--- a/crates/fleet/src/owner/planned_start.rs
+++ b/crates/fleet/src/owner/planned_start.rs
@@ -82,6 +82,7 @@
         let ticket = step_of(submission, &run.name).and_then(|step| step.tickets.get(&entry.index));
         let allowed = !needs_ticket || ticket.is_some_and(|ticket| now < ticket.expires_at);
         allowed
+            && entry.allocated.fits(&entry.report.capacity)
             && entry.is_reachable(now, self.settings.max_contact_age_ms)
             && !self
                 .evacuated_domains
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner's decisions in simulated time.
 
 mod advice;
+mod capacity;
 mod commits;
 mod crashes;
 mod fixtures;
