Count only crashes of upstreams that are known to have started the task

Cause: a start order without an answer counted as proof if nothing else was running on the upstream, though the upstream may have crashed before the order arrived; its submission was given up for a crash it met none of. Class: an unknown outcome taken for a known one.

Change: two crashes must be of upstreams that answered the start or listed the run.

Test: unconfirmed_start_does_not_count_as_proof failed before (Failed instead of Completed).

--- a/crates/fleet/src/owner/crash_suspects.rs
+++ b/crates/fleet/src/owner/crash_suspects.rs
@@ -4,10 +4,12 @@
 //! attempt, and takes one upstream after the other if it is started again like any other. The runs
 //! on a crashed upstream are suspects. The suspects of a submission run again together on an
 //! upstream of their own, so that a second crash tells which submission causes it and harms no
-//! other. Crashes of several upstreams at about the same time usually have a common cause; a first
-//! crash of that kind makes no suspects.
+//! other; after that they run one at a time. Only crashes of upstreams that are known to have
+//! started the task prove anything, because an order may not have arrived before the crash. Crashes
+//! of several upstreams at about the same time usually have a common cause; a first crash of that
+//! kind makes no suspects.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::model::{CrashRecord, CrashScope, RenewReply, TaskName};
@@ -23,7 +25,7 @@
 const MAX_SHARED_CRASHES: usize = 3;
 
 /// Number of crashes after which a task is given up although they are not confirmed.
-const MAX_CRASHES: usize = 4;
+const MAX_CRASHES: usize = 5;
 
 /// Number of upstreams that must end at about the same time for a common cause to be assumed.
 const WIDESPREAD_UPSTREAMS: usize = 3;
@@ -78,7 +80,7 @@
 
     /// Returns whether the task has crashed so many upstreams that it must not start again.
     fn must_be_given_up(&self) -> bool {
-        let confirmed = self.crashes.iter().filter(|crash| crash.confirmed).count();
+        let confirmed = self.confirmed_crashes();
         let last_alone = self
             .crashes
             .last()
@@ -87,6 +89,11 @@
         (confirmed >= MIN_CONFIRMED_CRASHES && is_guilty) || self.crashes.len() >= MAX_CRASHES
     }
 
+    /// Returns the number of crashes of upstreams that are known to have started the task.
+    pub fn confirmed_crashes(&self) -> usize {
+        self.crashes.iter().filter(|crash| crash.confirmed).count()
+    }
+
     /// Returns how long the task waits for an upstream without runs, in milliseconds.
     pub fn isolation_wait_ms(&self) -> u64 {
         if self.crashes.len() > 1 {
@@ -255,7 +262,7 @@
         task.crashes.push(CrashRecord {
             attempt: victim.attempt,
             upstream: upstream.clone(),
-            confirmed: victim.confirmed || scope == CrashScope::Alone,
+            confirmed: victim.confirmed,
             scope,
         });
         if let Some(entry) = self.submissions.get_mut(&victim.name.submission) {
@@ -279,6 +286,29 @@
         Some(upstreams)
     }
 
+    /// Returns whether a run of the submission is on an upstream that does not respond, so that it
+    /// may turn out to have crashed.
+    pub(super) fn has_silent_run(&self, submission: &SubmissionEntry) -> bool {
+        let mut upstreams = submission.tasks().filter_map(|task| task.upstream.as_ref());
+        upstreams.any(|id| {
+            let entry = self.upstreams.get(id);
+            entry.is_some_and(|entry| entry.silent_since.is_some())
+        })
+    }
+
+    /// Keeps the suspects on a silent upstream apart until it is known whether it has crashed.
+    pub(super) fn extend_isolation(&mut self, now: u64, upstream: &Arc<str>) {
+        let entry = self.upstreams.get(upstream);
+        let Some(entry) = entry.filter(|entry| entry.isolated_until > 0) else {
+            return;
+        };
+        let submissions = entry.runs.keys().map(|name| name.submission.clone());
+        let submissions: BTreeSet<_> = submissions.collect();
+        for submission in submissions {
+            self.isolate(now, upstream, &submission);
+        }
+    }
+
     /// Reserves an upstream for the suspects of a submission that are planned there.
     pub(super) fn isolate(&mut self, now: u64, upstream: &Arc<str>, submission: &Arc<str>) {
         let until = now + ISOLATION_MS;
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -101,6 +101,7 @@
             entry.silent_since.get_or_insert(now);
             entry.schedule_renewal(now + FAILED_RENEWAL_DELAY_MS, &mut self.renewal_queue);
         }
+        self.extend_isolation(now, upstream);
     }
 
     /// Handles a renewal that was rejected because of a higher epoch.
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -95,6 +95,26 @@
         rack.is_none_or(|rack| upstream.labels.contains(rack))
     }
 
+    /// Keeps only the suspects among the startable tasks, those with the most confirmed crashes
+    /// first. After two crashes one suspect runs at a time, so that the next crash is its own.
+    fn restrict_to_suspects(&mut self, now: u64, step: &StepEntry) {
+        let task_of = |index: &u32| &step.tasks[*index as usize];
+        self.startable.retain(|index| task_of(index).is_suspect());
+        self.startable
+            .sort_by_key(|index| std::cmp::Reverse(task_of(index).confirmed_crashes()));
+        let has_crashed_twice = |index: &u32| task_of(index).crashes.len() > 1;
+        if self.startable.iter().any(has_crashed_twice) {
+            self.startable.truncate(1);
+        }
+        let mut wait_ms = 0;
+        for index in &self.startable {
+            wait_ms = wait_ms.max(task_of(index).isolation_wait_ms());
+        }
+        if now.saturating_sub(self.waiting_since) >= wait_ms {
+            self.isolation = Isolation::Preferred;
+        }
+    }
+
     /// Returns whether an upstream could run another task of the step, regardless of other steps'
     /// runs.
     pub fn could_run(&self, upstream: &UpstreamView, step: &StepEntry) -> bool {
@@ -168,7 +188,8 @@
         let isolates = suspects != SuspectPhase::None && !request.spec().gang;
         // Long-running tasks must restart soon, so they do not wait for others.
         let holds_others = isolates && !request.spec().long_running;
-        if holds_others && suspects == SuspectPhase::Isolated {
+        let is_isolated = suspects == SuspectPhase::Isolated;
+        if holds_others && (is_isolated || self.has_silent_run(entry)) {
             return Some(request);
         }
         if request.spec().gang {
@@ -195,14 +216,7 @@
             }
         }
         if request.isolation == Isolation::Strict {
-            let is_suspect = |index: &u32| step.tasks[*index as usize].is_suspect();
-            request.startable.retain(is_suspect);
-            let waits = request.startable.iter();
-            let wait_ms = waits.map(|index| step.tasks[*index as usize].isolation_wait_ms());
-            let longest_ms = wait_ms.max().unwrap_or(0);
-            if now.saturating_sub(request.waiting_since) >= longest_ms {
-                request.isolation = Isolation::Preferred;
-            }
+            request.restrict_to_suspects(now, step);
         } else if holds_others {
             request.startable.clear();
         }
--- a/crates/fleet/tests/fleet/crashes.rs
+++ b/crates/fleet/tests/fleet/crashes.rs
@@ -95,6 +95,39 @@
     assert!(crashes <= 4, "{crashes} crashes");
 }
 
+/// An order that an upstream may never have received is no proof: its task must not be given up
+/// for the crash of that upstream.
+#[test]
+fn unconfirmed_start_does_not_count_as_proof() {
+    let policy = queue("check", 0);
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 2);
+    simulation.run_ms = Some(2000);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1500);
+    simulation.submit(&submission("s1", &policy, vec![step(1)]));
+    simulation.run_until(simulation.now + 300);
+    let first = simulation.started[0].upstream.clone();
+
+    simulation.crash_upstream(&first);
+    while simulation.crashes.is_empty() && simulation.now < 30_000 {
+        simulation.run_until(simulation.now + 5);
+    }
+    for id in ["u0", "u1"] {
+        simulation.crash_upstream(&Arc::from(id));
+    }
+    simulation.run_until(simulation.now + 30_000);
+
+    let reports = &simulation.crashes;
+    assert!(
+        reports
+            .iter()
+            .any(|report| report.upstream != first || reports.len() > 1),
+        "the second order met no crash"
+    );
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Completed));
+}
+
 /// A rack that falls blames nobody: its tasks restart at once, without waiting for upstreams of
 /// their own.
 #[test]
