Review: add a case of a worker that is never used again after a quarantine

After a quarantine an upstream is used only while it has no runs, until one completes. A standing run on it never completes, so that a sound, nearly empty worker gets nothing any more and accepted submissions wait for good (LOST).

--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -249,6 +249,8 @@
         self.state = "ready"
         self.draining_until = 0.0
         self.reports = True      # False while it is partitioned from the store
+        self.fails_starts = False  # while true, each task that it starts ends failed
+        self.labels = ["a", "r1-1"]
         self.up = True
         self.boot()
 
@@ -257,7 +259,7 @@
         self.booted_at = time.monotonic()
         self.fence = 0
         self.deadline_ms = 0
-        self.running = {}        # task -> [attempt, ends_at, started_at, spec]
+        self.running = {}        # task -> [attempt, ends_at, started_at, how it will end]
         self.finished = []       # [N, task, attempt, how, checkpoint]
         self.last_number = 0
         self.cursor = 0          # highest ack_cursor
@@ -287,7 +289,7 @@
         self.sequence += 1
         entry = {"service": "crew", "addr": self.address, "zone": self.zone, "version": "v1",
                  "slots": 8, "state": self.state, "cold_left_ms": 0, "capacity": self.capacity,
-                 "labels": ["a", "r1-1"], "clock_ms": self.clock_ms(), "seq": self.sequence,
+                 "labels": self.labels, "clock_ms": self.clock_ms(), "seq": self.sequence,
                  "born": self.born_unix_ms}
         if self.state == "draining":
             entry["remaining_ms"] = max(0, int((self.draining_until - time.monotonic()) * 1000))
@@ -333,7 +335,7 @@
                     self.end(task, "lapsed")
             now = time.monotonic()
             for task in [task for task, run in self.running.items() if run[1] <= now]:
-                self.end(task, "done")
+                self.end(task, self.running[task][3])
 
     def extend(self, deadline_ms):
         if deadline_ms:
@@ -400,7 +402,9 @@
         spec = json.loads(body["spec"])
         index = int(task.rsplit(".", 1)[1])
         duration = spec["run_s"] + spec.get("step_s", 0.0) * index
-        self.running[task] = [attempt, now + duration, now, body["spec"]]
+        how = "failed" if self.fails_starts else "done"
+        duration = min(duration, 0.1) if self.fails_starts else duration
+        self.running[task] = [attempt, now + duration, now, how]
         self.record.line(f"worker {self.id}: starts {task} attempt {attempt}, "
                          f"fencing token {body.get('fencing_token')}")
         return 200, answer
@@ -501,11 +505,12 @@
 class Cell:
     """A small deployment: store, workers and entry hosts."""
 
-    def __init__(self, case_folder, hosts=3, workers=3, hold_max_ms=10000):
+    def __init__(self, case_folder, hosts=3, workers=3, hold_max_ms=10000, labels=None):
         self.record = Record(os.path.join(case_folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="lagoonnotch-review-")
         self.host_count, self.worker_count, self.hold_max_ms = hosts, workers, hold_max_ms
         self.hosts, self.workers = [], []
+        self.labels = labels or {}   # number of a worker, from 0 -> its kind; others are of kind a
 
     async def __aenter__(self):
         if not os.path.exists(os.path.join(ROOT, "target/release/lagoonnotch-host")):
@@ -517,6 +522,7 @@
         for number in range(self.worker_count):
             worker = Worker(self.store, self.record, number + 1, zones[number % 3],
                             self.hold_max_ms)
+            worker.labels = [self.labels.get(number, "a"), f"r1-{number // 4 + 1}"]
             await worker.start()
             self.workers.append(worker)
         for number in range(self.host_count):
@@ -552,6 +558,13 @@
                 raise CannotRun(f"not in time: {what}")
             await asyncio.sleep(0.01)
 
+    async def state_of(self, host, job):
+        """Asks a host for the state of a job; returns (status, state)."""
+        status, body = await http(host.caller, "GET", PREFIX + job)
+        state = body.get("state") if isinstance(body, dict) else None
+        self.record.line(f"consumer: GET {job} at {host.name}: {status} {state}")
+        return status, state
+
     async def submit(self, host, job, phases, run_s, step_s=0.0, attempts=10):
         """Submits a job and retries until it is accepted. Task I runs for run_s + I * step_s."""
         for _ in range(attempts):
