--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -365,7 +365,7 @@
 
     async def hold(self, body):
         self.extend(body.get("deadline_ms"))
-        cursor = body.get("ack_cursor", 0)
+        cursor = min(body.get("ack_cursor", 0), self.last_number)
         for number in range(self.cursor + 1, cursor + 1):
             self.taken_note_of[number] = self.lapses
         self.cursor = max(self.cursor, cursor)
