--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -570,8 +570,8 @@
     """Runs a case; exits with 0 if the rule held, 1 if it was broken, 2 if it could not run."""
     try:
         broken = asyncio.run(case())
-    except CannotRun as error:
-        print(f"could not run: {error}")
-        raise SystemExit(2)
+    except Exception as error:  # a fault of the case is no broken rule
+        print(f"could not run: {error!r}")
+        raise SystemExit(2) from error
     print(broken if broken else "the rule held")
     raise SystemExit(1 if broken else 0)
