Take an expired directory entry of a draining upstream for no departure

Cause: the age of an upstream's report counted from when the owner read it. An entry that disappeared within two report intervals of that read passed for a departure, and the runs were released. After a takeover every report is new to its reader, and after reads that failed a report may be seconds old; so the expiry of an entry, 4.5 s after the last report, passed for a departure although the upstream ran on.

Change: a report carries its store revision, a read of the directory the store's revision at the read. A report with a higher revision than an earlier read was written after that read was requested, which bounds its age on the owner's own clock. Without such a read the age is unknown and the runs stay allocated until they are listed or their leases expire. Event 1067 logs the decision with the maximum age; the log showed nothing of it before.

Evidence: draining_upstream_cut_off_from_store_keeps_its_runs_across_takeover and report_read_late_does_not_make_an_expiry_a_departure (no takeover, the same cause) failed with the former age (two runs side by side at 1800 ms; 2 starts instead of 1 at 3500 ms) and pass now.

--- a/crates/fleet/src/model/mod.rs
+++ b/crates/fleet/src/model/mod.rs
@@ -16,6 +16,6 @@
 pub use submission_record::{StepSpec, SubmissionRecord};
 pub use task_name::TaskName;
 pub use upstream_report::{
-    FinishedRun, RejectReason, RenewReply, RunOutcome, RunReport, StartOutcome, StopOutcome,
-    UpstreamReport,
+    DirectoryRead, FinishedRun, RejectReason, RenewReply, RunOutcome, RunReport, StartOutcome,
+    StopOutcome, UpstreamReport,
 };
--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -23,12 +23,26 @@
     pub draining: bool,
     /// Sequence number of the last report; increases with each report.
     pub sequence: u64,
+    /// Store revision at which the report was written.
+    pub revision: u64,
     /// Resources available to runs in total.
     pub capacity: ResourceSize,
     /// Labels: the kind of upstream, then its rack.
     pub labels: Arc<[Arc<str>]>,
 }
 
+/// A complete read of the directory.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectoryRead {
+    /// The latest report of each listed upstream.
+    pub reports: Vec<UpstreamReport>,
+    /// Time at which the read was requested, in milliseconds on the reading host's clock.
+    pub requested_at: u64,
+    /// Store revision at the read; every report with a higher revision was written after
+    /// `requested_at`.
+    pub revision: u64,
+}
+
 /// A run that is present on an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunReport {
--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -92,6 +92,20 @@
     pub given_up: Vec<(TaskName, Vec<Arc<str>>)>,
 }
 
+/// The disappearance of a draining upstream's directory entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UnlistedReport {
+    /// Identifier of the upstream.
+    pub upstream: Arc<str>,
+    /// Maximum age of its last report, in milliseconds; `None` if it is unknown.
+    pub max_report_age_ms: Option<u64>,
+    /// Number of runs that were allocated there.
+    pub run_count: usize,
+    /// Whether the upstream has left, so that its runs are released. Otherwise they stay allocated,
+    /// because the entry may have expired while the upstream was cut off from the store.
+    pub has_left: bool,
+}
+
 /// An action that the owner's host executes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEffect {
@@ -107,6 +121,8 @@
     Commit(CommitBatch),
     /// Report a crash of an upstream.
     ReportCrash(CrashReport),
+    /// Report that a draining upstream is no longer listed.
+    ReportUnlisted(UnlistedReport),
     /// Stop acting as the owner: another host has used a higher epoch.
     StepDown,
 }
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -36,7 +36,9 @@
 mod upstream_entry;
 
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
-pub use effect::{CrashReport, OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder};
+pub use effect::{
+    CrashReport, OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder, UnlistedReport,
+};
 pub use owner_machine::OwnerMachine;
 pub use owner_settings::OwnerSettings;
 pub use query_dispatcher::{PolicyDecision, QueryOutcome};
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crate::model::{
-    ApprovedConfig, QueuePolicy, ResourceSize, SubmissionRecord, SubmissionState, TaskName,
-    UpstreamReport,
+    ApprovedConfig, DirectoryRead, QueuePolicy, ResourceSize, SubmissionRecord, SubmissionState,
+    TaskName, UpstreamReport,
 };
 use crate::owner::commit_queue::CommitQueue;
 use crate::owner::crash_suspects::CrashHistory;
@@ -17,12 +17,19 @@
 use crate::owner::slot_claims::ClaimTable;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
 use crate::owner::upstream_entry::{RunEntry, RunPhase, UpstreamEntry};
-use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry};
+use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry, UnlistedReport};
 
 /// Fraction of the difference to the fleet's mean by which an upstream's slowdown is corrected with
 /// each of its reports.
 const SLOWDOWN_DECAY: f64 = 0.1;
 
+/// The store's revision at a time: whatever has a higher revision was written later.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DirectoryMark {
+    revision: u64,
+    requested_at: u64,
+}
+
 /// Schedules the whole fleet while its host is the owner.
 #[derive(Debug)]
 pub struct OwnerMachine {
@@ -37,6 +44,8 @@
     /// Submissions without a final state, ordered by identifier.
     pub(super) active: BTreeSet<Arc<str>>,
     pub(super) upstreams: BTreeMap<Arc<str>, UpstreamEntry>,
+    /// The last read of the directory; `None` before the first.
+    pub(super) directory_mark: Option<DirectoryMark>,
     /// Upstreams by the time of their next renewal.
     pub(super) renewal_queue: DueQueue,
     /// Upstreams by the time of their next stop order.
@@ -105,6 +114,7 @@
             submissions: HashMap::new(),
             active: BTreeSet::new(),
             upstreams: BTreeMap::new(),
+            directory_mark: None,
             renewal_queue: DueQueue::default(),
             stop_queue: DueQueue::default(),
             uncommitted_upstreams: BTreeSet::new(),
@@ -173,29 +183,64 @@
     ///
     /// An entry disappears when its upstream leaves, or after three report intervals without a
     /// report. So a draining upstream whose entry disappears sooner has left, and none of its runs
-    /// exist any more. Sooner means within two report intervals of the last read of a new report,
-    /// because a report is read some time after it is written.
-    pub fn set_directory(&mut self, now: u64, reports: Vec<UpstreamReport>) {
-        let listed: BTreeSet<_> = reports.iter().map(|report| report.id.clone()).collect();
-        for report in reports {
-            self.set_report(now, report);
+    /// exist any more. When its last report was written is known only if an earlier read of this
+    /// owner did not contain that report; otherwise the upstream may be alive and merely cut off
+    /// from the store, and its runs stay allocated until it lists them or their leases expire.
+    pub fn set_directory(&mut self, now: u64, read: DirectoryRead) {
+        let listed: BTreeSet<_> = read
+            .reports
+            .iter()
+            .map(|report| report.id.clone())
+            .collect();
+        let mark = DirectoryMark {
+            revision: read.revision,
+            requested_at: read.requested_at,
+        };
+        let earlier_mark = self.directory_mark.replace(mark);
+        for report in read.reports {
+            let written_after = earlier_mark
+                .filter(|mark| report.revision > mark.revision)
+                .map(|mark| mark.requested_at);
+            self.set_report(now, report, written_after);
         }
-        let mut left = Vec::new();
+        let mut unlisted_draining = Vec::new();
         for (id, entry) in &mut self.upstreams {
-            let fresh =
-                now.saturating_sub(entry.reported_at) < 2 * self.settings.report_interval_ms;
-            if entry.in_directory && !listed.contains(id) && entry.report.draining && fresh {
-                left.push(id.clone());
+            if entry.in_directory && !listed.contains(id) && entry.report.draining {
+                unlisted_draining.push(id.clone());
             }
             entry.in_directory = listed.contains(id);
         }
-        for id in left {
-            self.on_incarnation_ended(now, &id);
+        for id in unlisted_draining {
+            self.on_draining_upstream_unlisted(now, &id);
         }
         self.request_placement();
     }
 
-    fn set_report(&mut self, now: u64, report: UpstreamReport) {
+    /// Decides whether a draining upstream whose entry disappeared has left.
+    fn on_draining_upstream_unlisted(&mut self, now: u64, id: &Arc<str>) {
+        let Some(entry) = self.upstreams.get(id) else {
+            return;
+        };
+        let max_report_age_ms = entry
+            .report_written_after
+            .map(|written_after| now.saturating_sub(written_after));
+        let has_left =
+            max_report_age_ms.is_some_and(|age| age < 2 * self.settings.report_interval_ms);
+        self.effects
+            .push(OwnerEffect::ReportUnlisted(UnlistedReport {
+                upstream: id.clone(),
+                max_report_age_ms,
+                run_count: entry.runs.len(),
+                has_left,
+            }));
+        if has_left {
+            self.on_incarnation_ended(now, id);
+        }
+    }
+
+    /// Sets the report of an upstream. `written_after` is a time before the report was written, if
+    /// one is known.
+    fn set_report(&mut self, now: u64, report: UpstreamReport, written_after: Option<u64>) {
         let id = report.id.clone();
         if let Some(entry) = self.upstreams.get_mut(&id) {
             let restarted = entry.report.incarnation_unix_ms != report.incarnation_unix_ms;
@@ -206,8 +251,8 @@
             if report.draining {
                 entry.drained_incarnation = Some(report.incarnation_unix_ms);
             }
-            if restarted || entry.report.sequence != report.sequence {
-                entry.reported_at = now;
+            if entry.report.revision != report.revision {
+                entry.report_written_after = written_after;
                 entry.slowdown += SLOWDOWN_DECAY * (self.mean_slowdown - entry.slowdown);
             }
             if entry.report.pool == report.pool {
@@ -223,7 +268,7 @@
         }
         let mut entry = UpstreamEntry::new(self.next_index(), report);
         entry.schedule_renewal(now, &mut self.renewal_queue);
-        entry.reported_at = now;
+        entry.report_written_after = written_after;
         self.upstreams.insert(id, entry);
         self.view_cache.clear();
         self.roster_changed = true;
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -97,6 +97,7 @@
                 failure_domain: roster_entry.failure_domain.clone(),
                 draining: false,
                 sequence: 0,
+                revision: 0,
                 capacity: ResourceSize::ZERO,
                 labels: Arc::from([]),
             },
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -115,8 +115,8 @@
     pub report: UpstreamReport,
     /// Whether the directory currently lists it.
     pub in_directory: bool,
-    /// Time at which a new report was last read.
-    pub reported_at: u64,
+    /// A time before the latest report was written; `None` if this owner's reads do not show one.
+    pub report_written_after: Option<u64>,
     /// Whether it answers; nothing is started there unless this is `Responsive`.
     pub contact: ContactState,
     /// Whether the stored roster contains it; until then no lease is granted.
@@ -177,7 +177,7 @@
             index,
             report,
             in_directory: true,
-            reported_at: 0,
+            report_written_after: None,
             contact: ContactState::Responsive,
             in_stored_roster: false,
             run_list_incarnation: None,
--- a/crates/fleet/tests/fleet/capacity.rs
+++ b/crates/fleet/tests/fleet/capacity.rs
@@ -2,7 +2,7 @@
 
 use lagoonnotch_fleet::model::{ResourceSize, SubmissionState, UpstreamReport};
 
-use crate::fixtures::{config, queue, report, step, submission};
+use crate::fixtures::{config, directory_read, queue, report, step, submission};
 use crate::simulation::FleetSimulation;
 
 /// Time after a change of the capacity by which the owner must have read it, in milliseconds.
@@ -103,7 +103,7 @@
     let now = simulation.now;
 
     if let Some(owner) = &mut simulation.owner {
-        owner.set_directory(now, vec![sized(newest - 1, 4)]);
+        owner.set_directory(now, directory_read(now, vec![sized(newest - 1, 4)]));
     }
     let end = simulation.now + 200;
     let peak = peak_runs(&mut simulation, end);
--- a/crates/fleet/tests/fleet/commits.rs
+++ b/crates/fleet/tests/fleet/commits.rs
@@ -8,13 +8,13 @@
     CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings,
 };
 
-use crate::fixtures::{config, queue, report, step, submission};
+use crate::fixtures::{config, directory_read, queue, report, step, submission};
 
 /// Returns an owner whose stored roster contains one upstream with four cores.
 fn owner() -> OwnerMachine {
     let approved = config(vec![queue("ledger", 2)], ResourceSize::ZERO);
     let mut owner = OwnerMachine::new(OwnerSettings::default(), 50, 0, approved);
-    owner.set_directory(1000, vec![report("u0")]);
+    owner.set_directory(1000, directory_read(1000, vec![report("u0")]));
     for batch in commits(&mut owner, 1000) {
         owner.on_commit(1001, &batch, CommitOutcome::Stored);
     }
--- a/crates/fleet/tests/fleet/fixtures.rs
+++ b/crates/fleet/tests/fleet/fixtures.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use lagoonnotch_fleet::model::{
-    ApprovedConfig, PolicyTiming, PoolPolicy, QueuePolicy, RequestLimits, ResourceSize, StepSpec,
-    SubmissionRecord, TeamPolicy, UpstreamReport,
+    ApprovedConfig, DirectoryRead, PolicyTiming, PoolPolicy, QueuePolicy, RequestLimits,
+    ResourceSize, StepSpec, SubmissionRecord, TeamPolicy, UpstreamReport,
 };
 
 /// Pool used by all fixtures.
@@ -95,6 +95,15 @@
     })
 }
 
+/// Returns a read of the directory at a time that also serves as the store's revision.
+pub fn directory_read(now: u64, reports: Vec<UpstreamReport>) -> DirectoryRead {
+    DirectoryRead {
+        reports,
+        requested_at: now,
+        revision: now,
+    }
+}
+
 /// Returns the directory report of an upstream with four cores.
 pub fn report(id: &str) -> UpstreamReport {
     UpstreamReport {
@@ -105,6 +114,7 @@
         failure_domain: "west".into(),
         draining: false,
         sequence: 0,
+        revision: 0,
         capacity: ResourceSize::new(4000, 16_384, 0),
         labels: Arc::from(["a".into(), "rack-1".into()]),
     }
--- a/crates/fleet/tests/fleet/promises.rs
+++ b/crates/fleet/tests/fleet/promises.rs
@@ -24,6 +24,12 @@
     Partition(u8, u64),
     /// Time until the next event, in milliseconds.
     Wait(u64),
+    /// Number of the upstream that starts or stops draining, modulo 4.
+    ToggleDraining(u8),
+    /// Number of the upstream whose reports no longer reach the store, modulo 4.
+    CutOffFromStore(u8),
+    /// Time for which the owner cannot read the directory, in milliseconds.
+    DirectoryUnreadable(u64),
 }
 
 fn history_event() -> impl Strategy<Value = HistoryEvent> {
@@ -38,6 +44,16 @@
     ]
 }
 
+/// An event of a history in which upstreams drain while their reports may be missing or read late.
+fn directory_event() -> impl Strategy<Value = HistoryEvent> {
+    prop_oneof![
+        12 => history_event(),
+        2 => any::<u8>().prop_map(HistoryEvent::ToggleDraining),
+        2 => any::<u8>().prop_map(HistoryEvent::CutOffFromStore),
+        1 => (500..5000_u64).prop_map(HistoryEvent::DirectoryUnreadable),
+    ]
+}
+
 fn faults() -> impl Strategy<Value = FaultRates> {
     (0..15_u64, 0..10_u64, 0..15_u64, 0..20_u64).prop_map(
         |(lost_replies, late_orders, failures, lost_commits)| FaultRates {
@@ -87,6 +103,23 @@
                     .partitioned
                     .insert(id.as_str().into(), simulation.now + length);
             }
+            HistoryEvent::ToggleDraining(number) => {
+                let id = format!("u{}", number % 4);
+                if let Some(upstream) = simulation.upstreams.get_mut(id.as_str()) {
+                    upstream.draining = !upstream.draining;
+                }
+            }
+            HistoryEvent::CutOffFromStore(number) => {
+                let id = format!("u{}", number % 4);
+                let now = simulation.now;
+                simulation
+                    .cut_off_from_store
+                    .entry(id.as_str().into())
+                    .or_insert(now);
+            }
+            HistoryEvent::DirectoryUnreadable(length) => {
+                simulation.directory_unreadable_until = simulation.now + length;
+            }
             HistoryEvent::Wait(pause) => {
                 let end = simulation.now + pause;
                 simulation.run_until(end);
@@ -96,6 +129,28 @@
     simulation
 }
 
+/// Ends all faults of a history, lets the fleet run for a minute, and checks it.
+fn check_history(simulation: &mut FleetSimulation) -> Result<(), TestCaseError> {
+    simulation.faults = FaultRates::default();
+    simulation.partitioned.clear();
+    simulation.cut_off_from_store.clear();
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.draining = false;
+    }
+    let end = simulation.now + 60_000;
+    simulation.run_until(end);
+    simulation.check_capacity();
+
+    prop_assert_eq!(&simulation.violations, &Vec::<String>::new());
+    for id in simulation.submissions.keys() {
+        let ended = simulation
+            .state_of(id)
+            .is_some_and(SubmissionState::is_final);
+        prop_assert!(ended, "{} is {:?}", id, simulation.state_of(id));
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
@@ -109,16 +164,18 @@
         events in prop::collection::vec(history_event(), 5..40),
     ) {
         let mut simulation = run_history(seed, faults, &events);
-        simulation.faults = FaultRates::default();
-        simulation.partitioned.clear();
-        let end = simulation.now + 60_000;
-        simulation.run_until(end);
-        simulation.check_capacity();
+        check_history(&mut simulation)?;
+    }
 
-        prop_assert_eq!(&simulation.violations, &Vec::<String>::new());
-        for id in simulation.submissions.keys() {
-            let ended = simulation.state_of(id).is_some_and(SubmissionState::is_final);
-            prop_assert!(ended, "{} is {:?}", id, simulation.state_of(id));
-        }
+    /// Guards against starting the tasks of a draining upstream twice because its directory entry
+    /// expires while it is cut off from the store, or is read late.
+    #[test]
+    fn promise_expired_directory_entry_is_no_departure(
+        seed in any::<u64>(),
+        faults in faults(),
+        events in prop::collection::vec(directory_event(), 5..40),
+    ) {
+        let mut simulation = run_history(seed, faults, &events);
+        check_history(&mut simulation)?;
     }
 }
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -1,5 +1,7 @@
 //! Tests of takeovers: what a new owner may and may not conclude from the store and the upstreams.
 
+use std::sync::Arc;
+
 use lagoonnotch_fleet::model::{
     FinishedRun, ProgressRecord, QueuePolicy, RenewReply, ResourceSize, RunOutcome, RunRecord,
     RunReport, StartOutcome, StepSpec, SubmissionState,
@@ -9,7 +11,9 @@
     StoredSubmission,
 };
 
-use crate::fixtures::{POOL, TEAM, config, queue, report, step, submission, ticketed_queue};
+use crate::fixtures::{
+    POOL, TEAM, config, directory_read, queue, report, step, submission, ticketed_queue,
+};
 use crate::simulation::{FaultRates, FleetSimulation};
 
 /// Guards against counting a failed attempt twice: a failure that is stored but not acknowledged is
@@ -246,6 +250,67 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+/// Returns a fleet of two upstreams with a long-running submission, and the upstream that runs it
+/// and has reported that it drains.
+fn fleet_with_draining_upstream(seed: u64) -> (FleetSimulation, Arc<str>) {
+    let policy = queue("watch", 1);
+    let mut simulation =
+        FleetSimulation::new(seed, config(vec![policy.clone()], ResourceSize::ZERO), 2);
+    simulation.run_ms = Some(60_000);
+    simulation.take_over();
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    simulation.submit(&submission("s1", &policy, vec![long_running]));
+    simulation.run_until(simulation.now + 200);
+    let upstream = simulation.started[0].upstream.clone();
+    if let Some(draining) = simulation.upstreams.get_mut(&upstream) {
+        draining.draining = true;
+    }
+    simulation.run_until(simulation.now + 2000);
+    (simulation, upstream)
+}
+
+/// Guards against starting the tasks of a draining upstream twice when only its directory entry
+/// expires: a new owner cannot tell how old the report is that it reads first.
+#[test]
+fn draining_upstream_cut_off_from_store_keeps_its_runs_across_takeover() {
+    for delay in (0..4500).step_by(300) {
+        let (mut simulation, upstream) = fleet_with_draining_upstream(11);
+        let cut_off_at = simulation.now;
+        simulation.cut_off_from_store.insert(upstream, cut_off_at);
+        simulation.run_until(cut_off_at + delay);
+
+        simulation.take_over();
+        simulation.run_until(cut_off_at + 9000);
+
+        assert_eq!(simulation.violations, Vec::<String>::new(), "{delay} ms");
+        assert_eq!(simulation.started.len(), 1, "{delay} ms");
+    }
+}
+
+/// Guards against the same without a takeover: the owner reads a report long after it was written,
+/// and the entry expires soon after that.
+#[test]
+fn report_read_late_does_not_make_an_expiry_a_departure() {
+    for unreadable_ms in (500..4500).step_by(300) {
+        let (mut simulation, upstream) = fleet_with_draining_upstream(11);
+        let begin = simulation.now;
+        simulation.directory_unreadable_until = begin + unreadable_ms;
+        simulation.cut_off_from_store.insert(upstream, begin + 1500);
+
+        simulation.run_until(begin + 9000);
+
+        assert_eq!(
+            simulation.violations,
+            Vec::<String>::new(),
+            "{unreadable_ms} ms"
+        );
+        assert_eq!(simulation.started.len(), 1, "{unreadable_ms} ms");
+    }
+}
+
 /// Guards against unblocking the next step too early: a finished run that is listed after its lease
 /// expired must not complete the task while a newer attempt runs.
 #[test]
@@ -363,7 +428,7 @@
     let mut owner = owner_with_stored_run(&policy);
     let mut moved = report("u0");
     moved.address = "elsewhere".into();
-    owner.set_directory(1005, vec![moved, report("u1")]);
+    owner.set_directory(1005, directory_read(1005, vec![moved, report("u1")]));
     owner.on_renewed(
         1010,
         1000,
@@ -390,7 +455,7 @@
     let policy = queue("ledger", 2);
     let approved = config(vec![policy.clone()], ResourceSize::ZERO);
     let mut owner = OwnerMachine::new(OwnerSettings::default(), 50, 0, approved);
-    owner.set_directory(1000, vec![report("u0")]);
+    owner.set_directory(1000, directory_read(1000, vec![report("u0")]));
     owner.tick(1000, 1000, true);
     store_commits(&mut owner, 1001);
     owner.on_renewed(1002, 1000, &"u0".into(), &renew_reply(&[], &[]));
@@ -440,7 +505,7 @@
         &"u0".into(),
         &renew_reply(&[], &[("s1.0.0.0", 1)]),
     );
-    owner.set_directory(1030, vec![report("u0"), report("u1")]);
+    owner.set_directory(1030, directory_read(1030, vec![report("u0"), report("u1")]));
     owner.tick(1040, 1040, true);
     let effects = owner.take_effects();
 
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -5,7 +5,7 @@
 
 use lagoonnotch_fleet::model::{
     ApprovedConfig, ProgressRecord, ResourceSize, RunOutcome, StartOutcome, StopOutcome,
-    SubmissionRecord, SubmissionState, TaskName,
+    SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, CrashReport, OwnerEffect, OwnerMachine, OwnerSettings,
@@ -13,12 +13,15 @@
     StoredSubmission,
 };
 
-use crate::fixtures::report;
+use crate::fixtures::{directory_read, report};
 use lagoonnotch_model::SimulatedUpstream;
 
 /// Interval between two ticks of the owner, in milliseconds.
 const TICK_MS: u64 = 5;
 
+/// Interval between two reports of an upstream to the directory, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 1500;
+
 /// Time after which a crashed upstream is back, in milliseconds.
 const DOWNTIME_MS: u64 = 3000;
 
@@ -91,6 +94,10 @@
     pub upstreams: BTreeMap<Arc<str>, SimulatedUpstream>,
     /// Upstreams that no message reaches, and until when.
     pub partitioned: HashMap<Arc<str>, u64>,
+    /// Upstreams whose reports do not reach the store, and since when.
+    pub cut_off_from_store: HashMap<Arc<str>, u64>,
+    /// Time until which the owner cannot read the directory.
+    pub directory_unreadable_until: u64,
     pub config: Arc<ApprovedConfig>,
     /// Submissions with their records and store revisions.
     pub submissions: BTreeMap<Arc<str>, (Arc<SubmissionRecord>, u64)>,
@@ -150,6 +157,8 @@
             previous: None,
             upstreams,
             partitioned: HashMap::new(),
+            cut_off_from_store: HashMap::new(),
+            directory_unreadable_until: 0,
             config,
             submissions: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -283,28 +292,41 @@
         let Some(mut owner) = self.owner.take() else {
             return;
         };
-        if self.now >= self.next_directory_at {
+        if self.now >= self.next_directory_at.max(self.directory_unreadable_until) {
             self.next_directory_at = self.now + 500;
             let reports = self
                 .upstreams
                 .values()
-                .filter(|upstream| !upstream.unlisted)
-                .map(|upstream| {
-                    let mut entry = report(&upstream.id);
-                    entry.incarnation_unix_ms = upstream.incarnation_unix_ms;
-                    entry.capacity = upstream.capacity;
-                    entry.draining = upstream.draining;
-                    entry.sequence = self.now / 1500;
-                    entry
-                })
+                .filter_map(|upstream| self.directory_entry(upstream))
                 .collect();
-            owner.set_directory(self.now, reports);
+            owner.set_directory(self.now, directory_read(self.now, reports));
         }
         self.tick_and_send(&mut owner);
         let stepped_down = owner.has_stepped_down();
         self.owner = (!stepped_down).then_some(owner);
     }
 
+    /// Returns the entry that the store has of an upstream, if it has not expired. Virtual time
+    /// serves as the store's revision.
+    fn directory_entry(&self, upstream: &SimulatedUpstream) -> Option<UpstreamReport> {
+        let cut_off_at = self.cut_off_from_store.get(&upstream.id);
+        let reporting_until = cut_off_at.map_or(self.now, |at| self.now.min(*at));
+        let sequence = reporting_until / REPORT_INTERVAL_MS;
+        let written_at = sequence * REPORT_INTERVAL_MS;
+        let expired = self.now >= written_at + 3 * REPORT_INTERVAL_MS;
+        if upstream.unlisted || expired {
+            return None;
+        }
+        Some(UpstreamReport {
+            incarnation_unix_ms: upstream.incarnation_unix_ms,
+            capacity: upstream.capacity,
+            draining: upstream.draining,
+            sequence,
+            revision: written_at,
+            ..report(&upstream.id)
+        })
+    }
+
     fn tick_previous(&mut self) {
         let Some((mut owner, until)) = self.previous.take() else {
             return;
@@ -358,7 +380,7 @@
                 self.push(500, Message::QueryDone(epoch, order.query_id, answer));
             }
             OwnerEffect::ReportCrash(report) => self.crashes.push(report),
-            OwnerEffect::StepDown => {}
+            OwnerEffect::ReportUnlisted(_) | OwnerEffect::StepDown => {}
         }
     }
 
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -248,7 +248,7 @@
                     machine.set_config(config, self.view.evacuated_domains());
                 }
             }
-            ControlInput::DirectoryRead(reports) => machine.set_directory(now, reports),
+            ControlInput::DirectoryRead(read) => machine.set_directory(now, read),
             ControlInput::SubmissionsStored(records) => {
                 for (record, create_revision) in records {
                     machine.add_submission(now, record, create_revision);
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lagoonnotch_fleet::model::{StartOutcome, StopOutcome, SubmissionRecord, UpstreamReport};
+use lagoonnotch_fleet::model::{DirectoryRead, StartOutcome, StopOutcome, SubmissionRecord};
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, QueryOutcome, RecoveredState, RenewOrder, StartOrder, StopOrder,
 };
@@ -32,7 +32,7 @@
     /// The configuration or the set of evacuated failure domains changed.
     ConfigChanged,
     /// All entries of the upstream directory in the store were read.
-    DirectoryRead(Vec<UpstreamReport>),
+    DirectoryRead(DirectoryRead),
     /// Submissions were stored. They may be known already.
     SubmissionsStored(Vec<AcceptedSubmission>),
     /// Cancellations were stored; carries the identifiers of their submissions.
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -6,7 +6,7 @@
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, CrashReport, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome,
-    RenewOrder, StartOrder, StopOrder,
+    RenewOrder, StartOrder, StopOrder, UnlistedReport,
 };
 use serde_json::json;
 
@@ -80,6 +80,7 @@
                 tokio::spawn(measured(WorkKind::Commits, commit));
             }
             OwnerEffect::ReportCrash(report) => self.report_crash(&report),
+            OwnerEffect::ReportUnlisted(report) => report_unlisted(&report),
             OwnerEffect::StepDown => {}
         }
     }
@@ -292,3 +293,12 @@
         }));
     }
 }
+
+fn report_unlisted(report: &UnlistedReport) {
+    FleetEvent::DrainingUpstreamUnlisted.emit(json!({
+        "upstream": report.upstream,
+        "max_report_age_ms": report.max_report_age_ms,
+        "runs": report.run_count,
+        "has_left": report.has_left,
+    }));
+}
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -117,6 +117,9 @@
     UpstreamCrashed = 1065, Warn;
     /// A submission failed because upstreams crashed repeatedly while one of its tasks was running.
     SubmissionGivenUp = 1066, Warn;
+    /// The directory entry of a draining upstream disappeared: either the upstream has left, or the
+    /// entry may have expired and the runs stay allocated.
+    DrainingUpstreamUnlisted = 1067, Info;
     /// A commit of progress failed or its outcome is unknown.
     CommitFailed = 1070, Warn;
     /// A submission's final state was stored.
--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use lagoonnotch_fleet::model::UpstreamReport;
+use lagoonnotch_fleet::model::DirectoryRead;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::{now_ms, unix_ms};
@@ -46,26 +46,28 @@
 
 impl OwnershipContext {
     /// Reads the directory once; returns `None` on failure.
-    pub(super) async fn read_directory(&self) -> Option<Vec<UpstreamReport>> {
-        let began_at = now_ms();
+    pub(super) async fn read_directory(&self) -> Option<DirectoryRead> {
+        let requested_at = now_ms();
         let listing = list_all(&self.ports.store, &self.ports.directory_prefix);
-        let (items, _) = timeout(DIRECTORY_TIMEOUT, listing).await.ok()?.ok()?;
-        self.view.record_store_response(began_at);
+        let (items, revision) = timeout(DIRECTORY_TIMEOUT, listing).await.ok()?.ok()?;
+        self.view.record_store_response(requested_at);
         let reports = items
             .iter()
             .filter_map(|item| (self.ports.parse_report)(item))
             .collect();
-        Some(reports)
+        Some(DirectoryRead {
+            reports,
+            requested_at,
+            revision,
+        })
     }
 
     /// Reads the directory periodically until the task is dropped.
     pub(super) async fn poll_directory(self) {
         loop {
             sleep(DIRECTORY_READ_INTERVAL).await;
-            if let Some(reports) = self.read_directory().await {
-                self.control
-                    .send(ControlInput::DirectoryRead(reports))
-                    .await;
+            if let Some(read) = self.read_directory().await {
+                self.control.send(ControlInput::DirectoryRead(read)).await;
             }
         }
     }
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -388,10 +388,8 @@
                 valid_until,
             })))
             .await;
-        if let Some(reports) = directory {
-            self.control
-                .send(ControlInput::DirectoryRead(reports))
-                .await;
+        if let Some(read) = directory {
+            self.control.send(ControlInput::DirectoryRead(read)).await;
         }
         self.view.set_owner(Some(OwnerInfo {
             host: self.host.clone(),
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use lagoonnotch_fleet::model::{
-    ApprovedConfig, PoolPolicy, ProgressRecord, QueuePolicy, RequestLimits, ResourceSize,
-    RunOutcome, StartOutcome, StopOutcome, SubmissionState, TaskName, TeamPolicy, UpstreamReport,
+    ApprovedConfig, DirectoryRead, PoolPolicy, ProgressRecord, QueuePolicy, RequestLimits,
+    ResourceSize, RunOutcome, StartOutcome, StopOutcome, SubmissionState, TaskName, TeamPolicy,
+    UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision,
@@ -360,7 +361,9 @@
                 }
                 OwnerEffect::Commit(batch) => self.push(COMMIT_MS, Event::Commit(epoch, batch)),
                 OwnerEffect::Query(order) => self.query_policy(epoch, &order),
-                OwnerEffect::ReportCrash(_) | OwnerEffect::StepDown => {}
+                OwnerEffect::ReportCrash(_)
+                | OwnerEffect::ReportUnlisted(_)
+                | OwnerEffect::StepDown => {}
             }
         }
     }
@@ -615,11 +618,18 @@
             .values()
             .map(|upstream| UpstreamReport {
                 sequence,
+                revision: sequence * UPSTREAM_REPORT_PERIOD_MS,
                 ..upstream.report.clone()
             })
             .collect();
+        // Virtual time serves as the store's revision.
+        let read = DirectoryRead {
+            reports,
+            requested_at: now,
+            revision: now,
+        };
         let epoch = self.epoch;
-        self.call_owner(|owner| owner.set_directory(now, reports), epoch);
+        self.call_owner(|owner| owner.set_directory(now, read), epoch);
         self.push(DIRECTORY_POLL_MS, Event::ReadDirectory);
     }
 
@@ -870,6 +880,7 @@
                 failure_domain: DOMAINS[number as usize % DOMAINS.len()].into(),
                 draining: false,
                 sequence: 0,
+                revision: 0,
                 capacity,
                 labels: Arc::from([
                     "a".into(),
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -87,6 +87,7 @@
                 failure_domain: "west".into(),
                 draining: false,
                 sequence: 0,
+                revision: 0,
                 capacity,
                 labels: Arc::from([]),
             },
