Release missing runs only if the list of finished runs is complete

Cause: an upstream lists at most 500 finished runs at a time. A run that finished beyond them is listed neither as running nor as finished, and release_missing took it for one that does not exist any more: its task was started again, and its end counted as stale when it was listed.

Change: a reply says whether its list of finished runs may be truncated (the adapter knows the limit of 500 rows); missing runs are released from complete lists only. This also covers the first list after a takeover.

--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -100,8 +100,11 @@
     pub incarnation_unix_ms: u64,
     /// Runs that are present on the upstream.
     pub running: Vec<RunReport>,
-    /// Finished runs that are not acknowledged yet.
+    /// Finished runs that are not acknowledged yet, the oldest first.
     pub finished: Vec<FinishedRun>,
+    /// Whether `finished` may be incomplete: the upstream lists a limited number, and the others
+    /// only after these are acknowledged.
+    pub finished_truncated: bool,
 }
 
 /// Why an upstream rejected an order.
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -63,7 +63,7 @@
         let is_first_list = entry.run_list_incarnation.is_none();
         entry.run_list_incarnation = Some(reply.incarnation_unix_ms);
         let any_finished = self.process_finished(now, upstream, &reply.finished);
-        self.process_running(now, sent_at, upstream, &reply.running);
+        self.process_running(now, sent_at, upstream, reply);
         if !victims.is_empty() {
             self.record_crash(now, fell_at, upstream, &victims);
         }
@@ -417,17 +417,11 @@
     }
 
     /// Processes the listed runs: confirms, adopts or stops them, and releases runs that are
-    /// missing.
-    fn process_running(
-        &mut self,
-        now: u64,
-        sent_at: u64,
-        upstream: &Arc<str>,
-        running: &[RunReport],
-    ) {
+    /// missing from complete lists.
+    fn process_running(&mut self, now: u64, sent_at: u64, upstream: &Arc<str>, reply: &RenewReply) {
         let mut present = BTreeMap::new();
         let mut unknown_runs = 0;
-        for report in running {
+        for report in &reply.running {
             match TaskName::parse(&report.task) {
                 Some(name) => {
                     present.insert(name, report);
@@ -443,7 +437,10 @@
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.unknown_runs = unknown_runs;
         }
-        self.release_missing(now, sent_at, upstream, &present);
+        // A missing run may have finished beyond the end of a truncated list.
+        if !reply.finished_truncated {
+            self.release_missing(now, sent_at, upstream, &present);
+        }
     }
 
     /// Confirms or adopts a listed run; returns false if its submission or step is unknown.
--- a/crates/fleet/tests/fleet/commits.rs
+++ b/crates/fleet/tests/fleet/commits.rs
@@ -23,6 +23,7 @@
         incarnation_unix_ms: 1,
         running: Vec::new(),
         finished: Vec::new(),
+        finished_truncated: false,
     };
     owner.on_renewed(1002, 1000, &"u0".into(), &empty);
     owner
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod fixtures;
 mod gangs;
 mod invariant_checks;
+mod inventory;
 mod large_fleet;
 mod promises;
 mod recovery;
--- a/crates/fleet/tests/fleet/promises.rs
+++ b/crates/fleet/tests/fleet/promises.rs
@@ -65,11 +65,15 @@
     )
 }
 
-fn run_history(seed: u64, faults: FaultRates, events: &[HistoryEvent]) -> FleetSimulation {
+fn new_simulation(seed: u64, faults: FaultRates) -> FleetSimulation {
     let policy = queue("ledger", 2);
-    let mut simulation =
-        FleetSimulation::new(seed, config(vec![policy.clone()], ResourceSize::ZERO), 4);
+    let mut simulation = FleetSimulation::new(seed, config(vec![policy], ResourceSize::ZERO), 4);
     simulation.faults = faults;
+    simulation
+}
+
+fn run_history(simulation: &mut FleetSimulation, events: &[HistoryEvent]) {
+    let policy = queue("ledger", 2);
     simulation.take_over();
     let mut submitted = 0_u32;
     for event in events {
@@ -126,7 +130,6 @@
             }
         }
     }
-    simulation
 }
 
 /// Ends all faults of a history, lets the fleet run for a minute, and checks it.
@@ -163,7 +166,8 @@
         faults in faults(),
         events in prop::collection::vec(history_event(), 5..40),
     ) {
-        let mut simulation = run_history(seed, faults, &events);
+        let mut simulation = new_simulation(seed, faults);
+        run_history(&mut simulation, &events);
         check_history(&mut simulation)?;
     }
 
@@ -175,7 +179,23 @@
         faults in faults(),
         events in prop::collection::vec(directory_event(), 5..40),
     ) {
-        let mut simulation = run_history(seed, faults, &events);
+        let mut simulation = new_simulation(seed, faults);
+        run_history(&mut simulation, &events);
+        check_history(&mut simulation)?;
+    }
+    /// Guards against starting finished tasks again while upstreams list only some of their finished
+    /// runs at a time.
+    #[test]
+    fn promise_truncated_lists_hide_no_run(
+        seed in any::<u64>(),
+        faults in faults(),
+        events in prop::collection::vec(history_event(), 5..40),
+    ) {
+        let mut simulation = new_simulation(seed, faults);
+        for upstream in simulation.upstreams.values_mut() {
+            upstream.max_listed_finished = 2;
+        }
+        run_history(&mut simulation, &events);
         check_history(&mut simulation)?;
     }
 }
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -579,6 +579,7 @@
                 checkpoint: "".into(),
             })
             .collect(),
+        finished_truncated: false,
     }
 }
 
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -9,6 +9,9 @@
 };
 use lagoonnotch_fleet::owner::{RenewOrder, StartOrder, StopOrder};
 
+/// Maximum number of finished runs that the upstreams of the platform list at a time.
+const MAX_LISTED_FINISHED: usize = 500;
+
 /// A run that has not finished.
 #[derive(Clone, Debug)]
 pub struct SimulatedRun {
@@ -51,6 +54,8 @@
     pub runs: BTreeMap<TaskName, SimulatedRun>,
     /// Finished runs that the owner has not acknowledged yet.
     pub finished: Vec<FinishedRun>,
+    /// Maximum number of finished runs in one reply.
+    pub max_listed_finished: usize,
     /// Number of the next finished run.
     pub next_finish_number: u64,
     /// Highest attempt of each task that was stopped or has finished.
@@ -99,6 +104,7 @@
             lease_deadline_ms: 0,
             runs: BTreeMap::new(),
             finished: Vec::new(),
+            max_listed_finished: MAX_LISTED_FINISHED,
             next_finish_number: 1,
             finished_attempts: BTreeMap::new(),
             stop_duration_ms: 0,
@@ -269,6 +275,7 @@
         if order.epoch < self.epoch {
             return None;
         }
+        let listed = self.finished.iter().take(self.max_listed_finished);
         Some(RenewReply {
             clock_ms: now + self.clock_offset_ms,
             incarnation_unix_ms: self.incarnation_unix_ms,
@@ -283,7 +290,8 @@
                     recent_metric: 0,
                 })
                 .collect(),
-            finished: self.finished.clone(),
+            finished: listed.cloned().collect(),
+            finished_truncated: self.finished.len() >= self.max_listed_finished,
         })
     }
 }
