Let runs from before a quarantine hold back no others

Cause: after a quarantine an upstream was used only while it had no runs, until a run completed. A long-running run from before the quarantine never completes and is not stopped, so both conditions stayed false.

Change: only runs that were placed after the last quarantine hold back others, each for at most 3 s, which is longer than a stall takes to be found. A long-running run that was placed after the quarantine ends the probation once it has been at work for as long.

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -281,8 +281,7 @@
     /// Marks a task, or its whole gang, as done.
     fn finish_task(&mut self, now: u64, upstream: &Arc<str>, name: &TaskName) {
         if let Some(entry) = self.upstreams.get_mut(upstream) {
-            entry.failed_submissions.clear();
-            entry.quarantine_count = 0;
+            entry.end_probation();
         }
         let Some(entry) = self.submissions.get_mut(&name.submission) else {
             return;
@@ -472,6 +471,7 @@
             {
                 run.phase = RunPhase::Running;
             }
+            entry.check_long_running_probe(now, name);
             if !report.checkpoint.is_empty() {
                 if let Some(task) = self.task_mut(name) {
                     task.checkpoint = Some(report.checkpoint.clone());
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -18,6 +18,13 @@
 /// unacknowledged finished runs.
 const COMMIT_WAIT_MS: u64 = 250;
 
+/// Time for which the runs that are placed after a quarantine hold back others, in milliseconds. It
+/// is longer than the time after which a run counts as stalled.
+const PROBE_TIMEOUT_MS: u64 = 3000;
+
+/// Percentage at which a long-running run is at work.
+const AT_WORK_PERCENT: u32 = 100;
+
 /// Margin added to a computed lease expiry, in milliseconds.
 const EXPIRY_MARGIN_MS: u64 = 50;
 
@@ -161,7 +168,7 @@
     pub slowdown: f64,
     /// Time until which nothing is placed on the upstream after failed or stalled runs.
     pub quarantined_until: u64,
-    /// Number of quarantines since the last completed run.
+    /// Number of quarantines since the last run that showed the upstream to be sound.
     pub quarantine_count: u32,
     /// Time until which nothing is placed on the upstream after it rejected a start as unhealthy or
     /// full.
@@ -234,15 +241,44 @@
         Some(clock.clock_ms + remaining)
     }
 
-    /// Returns whether tasks may be placed on the upstream now. After a quarantine, tasks are
-    /// placed only while the upstream has no runs, until one of its runs completes.
+    /// Returns whether tasks may be placed on the upstream now.
     pub fn is_usable(&self, now: u64, max_contact_age_ms: u64) -> bool {
         self.is_reachable(now, max_contact_age_ms)
             && self.unknown_runs == 0
             && now >= self.backoff_until
             && now >= self.quarantined_until
             && now >= self.isolated_until
-            && (self.quarantine_count == 0 || self.runs.is_empty())
+            && (self.quarantine_count == 0 || !self.is_probed(now))
+    }
+
+    /// Returns whether a run that was placed after the last quarantine may still show that the
+    /// upstream is not sound. Runs from before the quarantine show nothing; they may last for long.
+    fn is_probed(&self, now: u64) -> bool {
+        self.runs.values().any(|run| {
+            run.ordered_at >= self.quarantined_until && now < run.ordered_at + PROBE_TIMEOUT_MS
+        })
+    }
+
+    /// Records that a run shows the upstream to be sound.
+    pub fn end_probation(&mut self) {
+        self.failed_submissions.clear();
+        self.quarantine_count = 0;
+    }
+
+    /// Ends the probation if a long-running run that was placed after the last quarantine has been
+    /// at work for a while; such a run never completes.
+    pub fn check_long_running_probe(&mut self, now: u64, name: &TaskName) {
+        let quarantined_until = self.quarantined_until;
+        let is_sound = self.quarantine_count > 0
+            && self.runs.get(name).is_some_and(|run| {
+                run.long_running
+                    && run.percent >= AT_WORK_PERCENT
+                    && run.ordered_at >= quarantined_until
+                    && now >= run.ordered_at + PROBE_TIMEOUT_MS
+            });
+        if is_sound {
+            self.end_probation();
+        }
     }
 
     /// Returns whether orders that are already decided may be sent to the upstream.
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod inventory;
 mod large_fleet;
 mod promises;
+mod quarantine;
 mod recovery;
 mod scheduling;
 mod simulation;
