Report only counts of waiting submissions that the owner has made

Cause: a host answered heartbeats with the counts in its view as soon as it had an epoch. Until its own next heartbeat these were the counts of its predecessor, or none on a host that had just started; the others took them for new, and no entry for 0. Nor did the age of a count include how late the owner's control actor was.

Change: counts carry their epoch and the time of the count. The control actor counts every 250 ms while it may act, as of the time at which the tick was requested. A reply carries counts only if they were made in the present epoch at most 600 ms ago, and receivers assume that age. The messages between hosts keep their form. Event 1034 logs each answer.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -1,6 +1,6 @@
 //! The actor that runs the owner's state machine.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
     PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage, TimedInput,
 };
 use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
-use crate::control::{ControlHandle, HostView};
+use crate::control::{ControlHandle, HostView, WaitingCounts};
 use crate::event::FleetEvent;
 use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, PeerClients, PeerInfo, SubmissionLookup};
@@ -31,6 +31,9 @@
 /// Time between two updates of the hosts that may query the policy service, in milliseconds.
 const QUERY_HOST_UPDATE_MS: u64 = 200;
 
+/// Time between two counts of the waiting submissions, in milliseconds.
+const COUNT_INTERVAL_MS: u64 = 250;
+
 /// State of this host's ownership.
 struct ActiveOwnership {
     machine: OwnerMachine,
@@ -38,6 +41,8 @@
     valid_until: u64,
     /// Whether the last tick found that the ownership may have expired.
     suspended: bool,
+    /// When the waiting submissions were last counted; 0 before the first count.
+    counted_at: u64,
 }
 
 /// A host that has sent a heartbeat to this one while it accepted policy queries.
@@ -122,7 +127,8 @@
             return;
         }
         self.tick_requested = true;
-        let _ = self.address.send(TickMessage).detach().await;
+        let tick = TickMessage { requested_at: now };
+        let _ = self.address.send(tick).detach().await;
     }
 
     /// Returns the hosts that may query the policy service.
@@ -135,7 +141,9 @@
         recent.chain([self.host.clone()]).collect()
     }
 
-    fn tick(&mut self) {
+    /// Ticks the owner; `requested_at` is when the tick was requested. Every message sent before
+    /// that has been processed.
+    fn tick(&mut self, requested_at: u64) {
         let (now, unix) = (now_ms(), unix_ms());
         self.last_tick_at = now;
         let outdated = now >= self.query_hosts_set_at + QUERY_HOST_UPDATE_MS;
@@ -155,6 +163,15 @@
         ownership.machine.tick(now, unix, may_act);
         let valid_until = ownership.valid_until;
         let epoch = ownership.machine.epoch();
+        // A host that may have been replaced does not know what a successor accepts.
+        if may_act && now >= ownership.counted_at + COUNT_INTERVAL_MS {
+            ownership.counted_at = now;
+            self.view.set_waiting_counts(WaitingCounts {
+                epoch,
+                by_queue: ownership.machine.waiting_counts(),
+                counted_at: requested_at,
+            });
+        }
         for effect in ownership.machine.take_effects() {
             self.runner.run(epoch, effect, &self.peers, valid_until);
         }
@@ -181,7 +198,10 @@
         let address = self.address.clone();
         let timer = tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            let _ = address.send(TickMessage).detach().await;
+            let tick = TickMessage {
+                requested_at: now_ms(),
+            };
+            let _ = address.send(tick).detach().await;
         });
         self.timer = Some((due_at, timer));
     }
@@ -219,6 +239,7 @@
             machine,
             valid_until: grant.valid_until,
             suspended: false,
+            counted_at: 0,
         });
     }
 
@@ -323,7 +344,7 @@
 impl Handler<TickMessage> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, _: TickMessage, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: TickMessage, _: &mut Context<Self>) {
         self.tick_requested = false;
         if self
             .timer
@@ -332,7 +353,7 @@
         {
             self.timer = None;
         }
-        measure(WorkKind::Ticks, || self.tick());
+        measure(WorkKind::Ticks, || self.tick(message.requested_at));
     }
 }
 
@@ -369,7 +390,6 @@
         _: &mut Context<Self>,
     ) -> HeartbeatReply {
         self.record_heartbeat(message.0);
-        let machine = self.ownership.as_ref().map(|ownership| &ownership.machine);
         let now = now_ms();
         let peers = self
             .peers
@@ -377,14 +397,13 @@
             .filter(|peer| now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS)
             .map(|peer| peer.info.clone())
             .collect();
+        // The actor sets the counts of its own host itself.
         HeartbeatReply {
             peers: Some(peers),
-            epoch: machine.map(OwnerMachine::epoch),
+            epoch: None,
             store_response_age_ms: self.view.store_response_age_ms(),
             config: None,
-            waiting_counts: machine
-                .map(OwnerMachine::waiting_counts)
-                .unwrap_or_default(),
+            waiting_counts: HashMap::new(),
         }
     }
 }
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -78,7 +78,10 @@
 }
 
 /// Makes the actor do the work that is due.
-pub(super) struct TickMessage;
+pub(super) struct TickMessage {
+    /// When the tick was requested.
+    pub requested_at: u64,
+}
 
 /// Delivers the heartbeat of another host.
 pub(super) struct PeerHeartbeatMessage(pub HeartbeatRequest);
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -18,6 +18,32 @@
 /// requests of peers are declined, in milliseconds.
 const STORE_UNRESPONSIVE_MS: u64 = 1000;
 
+/// Maximum age of the counts of waiting submissions that an owner reports to other hosts, in
+/// milliseconds.
+pub const MAX_REPORTED_COUNT_AGE_MS: u64 = 600;
+
+/// Numbers of waiting submissions, as counted by an owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingCounts {
+    /// Epoch of the owner that counted.
+    pub epoch: u64,
+    /// Number of waiting submissions by queue; a queue without an entry has none.
+    pub by_queue: HashMap<Arc<str>, u64>,
+    /// Time at which the owner counted, or a time before that, in milliseconds of this host's clock.
+    pub counted_at: u64,
+}
+
+/// The number of waiting submissions of a queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WaitingCount {
+    /// Number of submissions.
+    pub count: u64,
+    /// Maximum age of the number, in milliseconds.
+    pub age_ms: u64,
+    /// Epoch of the owner that counted.
+    pub epoch: u64,
+}
+
 /// The owner according to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnerInfo {
@@ -44,10 +70,8 @@
     store_responded_at: u64,
     store_lost: bool,
     owner: Option<OwnerInfo>,
-    /// Number of waiting submissions by queue, as last reported by the owner.
-    waiting_counts: HashMap<Arc<str>, u64>,
-    /// When the owner last reported the counts.
-    waiting_counts_at: u64,
+    /// Numbers of waiting submissions; `None` until an owner has reported them.
+    waiting_counts: Option<WaitingCounts>,
     /// Hosts that recently sent a heartbeat to the owner and are not stopping, including this one,
     /// as last reported by the owner.
     peers: Vec<PeerInfo>,
@@ -229,45 +253,54 @@
         relays
     }
 
-    /// Sets the numbers of waiting submissions, as reported by the owner.
-    pub fn set_waiting_counts(&self, waiting_counts: HashMap<Arc<str>, u64>) {
+    /// Sets the numbers of waiting submissions, unless those of a later epoch are known.
+    pub fn set_waiting_counts(&self, counts: WaitingCounts) {
         let mut state = self.lock();
-        state.waiting_counts = waiting_counts;
-        state.waiting_counts_at = now_ms();
+        let known_epoch = state.waiting_counts.as_ref().map_or(0, |known| known.epoch);
+        if counts.epoch >= known_epoch {
+            state.waiting_counts = Some(counts);
+        }
     }
 
     /// Returns the reply to a heartbeat without asking the control actor, so that a host whose
     /// actor is busy, for example recovering, still replies in time and is not considered lost.
-    /// Counts and peers are those of the last reply that the owner sent to this host.
+    /// Peers are those of the last reply that the owner sent to this host. Counts are included only
+    /// if this host counted them as the present owner a moment ago: those of an earlier owner, or
+    /// none yet, say nothing about the submissions that wait now.
     #[must_use]
     pub fn heartbeat_reply(&self, known_peers_digest: u64) -> HeartbeatReply {
         let store_response_age_ms = self.store_response_age_ms();
         let state = self.lock();
-        let is_owner = state.owned_epoch.is_some();
+        let now = now_ms();
         let fingerprint = ConfigFingerprint {
             digest: state.config_digest,
-            age_ms: now_ms().saturating_sub(state.config_read_at),
+            age_ms: now.saturating_sub(state.config_read_at),
         };
+        let own_counts = state.waiting_counts.as_ref().filter(|counts| {
+            state.owned_epoch == Some(counts.epoch)
+                && now.saturating_sub(counts.counted_at) <= MAX_REPORTED_COUNT_AGE_MS
+        });
         HeartbeatReply {
-            epoch: state.owned_epoch,
+            epoch: own_counts.map(|counts| counts.epoch),
             store_response_age_ms,
             config: Some(fingerprint),
-            waiting_counts: if is_owner {
-                state.waiting_counts.clone()
-            } else {
-                HashMap::new()
-            },
+            waiting_counts: own_counts
+                .map(|counts| counts.by_queue.clone())
+                .unwrap_or_default(),
             peers: (known_peers_digest != state.peers_digest).then(|| state.peers.clone()),
         }
     }
 
-    /// Returns the number of waiting submissions of a queue, and the age of this number in
-    /// milliseconds.
+    /// Returns the number of waiting submissions of a queue; `None` if no owner has reported it.
     #[must_use]
-    pub fn waiting_count(&self, queue: &str) -> (u64, u64) {
+    pub fn waiting_count(&self, queue: &str) -> Option<WaitingCount> {
         let state = self.lock();
-        let count = state.waiting_counts.get(queue).copied().unwrap_or(0);
-        (count, now_ms().saturating_sub(state.waiting_counts_at))
+        let counts = state.waiting_counts.as_ref()?;
+        Some(WaitingCount {
+            count: counts.by_queue.get(queue).copied().unwrap_or(0),
+            age_ms: now_ms().saturating_sub(counts.counted_at),
+            epoch: counts.epoch,
+        })
     }
 
     /// Marks the host as stopping.
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -9,4 +9,4 @@
 pub use control_actor::ControlActor;
 pub use control_handle::ControlHandle;
 pub use control_messages::{AcceptedSubmission, ControlInput, OwnershipGrant};
-pub use host_view::{HostView, OwnerInfo};
+pub use host_view::{HostView, MAX_REPORTED_COUNT_AGE_MS, OwnerInfo, WaitingCount, WaitingCounts};
--- a/crates/host/src/entry/entry_service.rs
+++ b/crates/host/src/entry/entry_service.rs
@@ -202,11 +202,17 @@
     }
 
     fn count(&self, queue: &QueuePolicy) -> EntryResponse {
-        let (count, age_ms) = self.view.waiting_count(&queue.name);
-        if age_ms > MAX_COUNT_AGE_MS {
+        let waiting = self.view.waiting_count(&queue.name);
+        let Some(waiting) = waiting.filter(|waiting| waiting.age_ms <= MAX_COUNT_AGE_MS) else {
             return refusal(RefusalReason::NoOwner);
-        }
-        EntryResponse::Waiting(count)
+        };
+        FleetEvent::WaitingCountReturned.emit(json!({
+            "queue": queue.name,
+            "count": waiting.count,
+            "age_ms": waiting.age_ms,
+            "epoch": waiting.epoch,
+        }));
+        EntryResponse::Waiting(waiting.count)
     }
 
     async fn show(&self, id: Arc<str>) -> EntryResponse {
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -91,6 +91,9 @@
     RequestUnsettled = 1032, Warn;
     /// A cancellation was stored.
     CancelStored = 1033, Info;
+    /// A caller was told how many submissions wait; says in which epoch they were counted, and the
+    /// maximum age of the count.
+    WaitingCountReturned = 1034, Info;
     /// This host attempts to become the owner.
     OwnershipClaimed = 1040, Info;
     /// This host became the owner and recovered the fleet's state.
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::clock::now_ms;
-use crate::control::OwnerInfo;
+use crate::control::{MAX_REPORTED_COUNT_AGE_MS, OwnerInfo, WaitingCounts};
 use crate::event::FleetEvent;
 use crate::ownership::{OwnershipContext, is_much_smaller};
 use crate::peer::HeartbeatRequest;
@@ -176,7 +176,11 @@
                     self.view.confirm_config(config.digest, read_at);
                 }
                 if reply.epoch == Some(owner.epoch) {
-                    self.view.set_waiting_counts(reply.waiting_counts);
+                    self.view.set_waiting_counts(WaitingCounts {
+                        epoch: owner.epoch,
+                        by_queue: reply.waiting_counts,
+                        counted_at: sent_at.saturating_sub(MAX_REPORTED_COUNT_AGE_MS),
+                    });
                 }
                 if unanswered {
                     unanswered = false;
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -45,13 +45,14 @@
 /// Reply to a heartbeat.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct HeartbeatReply {
-    /// Epoch, if the host is the owner and has recovered.
+    /// Epoch in which the host counted `waiting_counts`; `None` if it is not the owner, or has not
+    /// counted within the last `MAX_REPORTED_COUNT_AGE_MS`.
     pub epoch: Option<u64>,
     /// Time since the host sent the last request that the store answered, in milliseconds.
     pub store_response_age_ms: u64,
     /// Fingerprint of the last read; `None` in the control actor's replies.
     pub config: Option<ConfigFingerprint>,
-    /// Number of submissions without a started task, by queue.
+    /// Number of submissions without a started task, by queue; meaningless without `epoch`.
     pub waiting_counts: HashMap<Arc<str>, u64>,
     /// Hosts that recently sent a heartbeat to the owner and are not stopping; `None` if the caller
     /// has this list already.
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -11,4 +11,5 @@
 mod relay;
 mod settings;
 mod submissions;
+mod waiting_counts;
 mod work_meter;
