Keep odd directory entries from affecting upstreams

Cause: an entry that another writer left was taken at its word or not at all. Each unreadable entry was logged at every read.

--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -1,6 +1,7 @@
 //! Reports that upstreams write or send about themselves and their runs, and their answers to
 //! orders.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use lagoonnotch::model::ResourceSize;
@@ -21,9 +22,7 @@
     pub failure_domain: Arc<str>,
     /// Whether the upstream is about to leave the fleet.
     pub draining: bool,
-    /// Sequence number of the last report; increases with each report.
-    pub sequence: u64,
-    /// Store revision at which the report was written.
+    /// Store revision at which the report was written; increases with each report.
     pub revision: u64,
     /// Resources available to runs in total.
     pub capacity: ResourceSize,
@@ -36,6 +35,9 @@
 pub struct DirectoryRead {
     /// The latest report of each listed upstream.
     pub reports: Vec<UpstreamReport>,
+    /// Upstreams whose entries describe no usable upstream; each may be the entry of a running
+    /// upstream that another writer has replaced.
+    pub unreadable: BTreeSet<Arc<str>>,
     /// Time at which the read was requested, in milliseconds on the reading host's clock.
     pub requested_at: u64,
     /// Store revision at the read; every report with a higher revision was written after
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -16,7 +16,7 @@
 use crate::owner::ready_list::ReadyList;
 use crate::owner::slot_claims::ClaimTable;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
-use crate::owner::upstream_entry::{RunEntry, RunPhase, UpstreamEntry};
+use crate::owner::upstream_entry::{DirectoryPresence, RunEntry, RunPhase, UpstreamEntry};
 use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry, UnlistedReport};
 
 /// Fraction of the difference to the fleet's mean by which an upstream's slowdown is corrected with
@@ -205,10 +205,18 @@
         }
         let mut unlisted_draining = Vec::new();
         for (id, entry) in &mut self.upstreams {
-            if entry.in_directory && !listed.contains(id) && entry.report.draining {
+            let presence = if listed.contains(id) {
+                DirectoryPresence::Listed
+            } else if read.unreadable.contains(id) {
+                DirectoryPresence::Unreadable
+            } else {
+                DirectoryPresence::Missing
+            };
+            let disappeared = presence == DirectoryPresence::Missing && entry.presence != presence;
+            if disappeared && entry.report.draining {
                 unlisted_draining.push(id.clone());
             }
-            entry.in_directory = listed.contains(id);
+            entry.presence = presence;
         }
         for id in unlisted_draining {
             self.on_draining_upstream_unlisted(now, &id);
@@ -245,7 +253,7 @@
         if let Some(entry) = self.upstreams.get_mut(&id) {
             let restarted = entry.report.incarnation_unix_ms != report.incarnation_unix_ms;
             // A report that was read late says nothing about the present capacity.
-            if !restarted && report.sequence < entry.report.sequence {
+            if !restarted && report.revision < entry.report.revision {
                 return;
             }
             if report.draining {
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -11,7 +11,9 @@
 use crate::model::{ProgressRecord, ResourceSize, SubmissionRecord, TaskName, UpstreamReport};
 use crate::owner::OwnerMachine;
 use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
-use crate::owner::upstream_entry::{ContactState, RunEntry, RunPhase, UpstreamEntry};
+use crate::owner::upstream_entry::{
+    ContactState, DirectoryPresence, RunEntry, RunPhase, UpstreamEntry,
+};
 
 /// Assumed maximum difference between the wall clocks of two hosts, in milliseconds.
 const HOST_CLOCK_MARGIN_MS: u64 = 1000;
@@ -96,13 +98,12 @@
                 address: roster_entry.address.clone(),
                 failure_domain: roster_entry.failure_domain.clone(),
                 draining: false,
-                sequence: 0,
                 revision: 0,
                 capacity: ResourceSize::ZERO,
                 labels: Arc::from([]),
             },
         );
-        entry.in_directory = false;
+        entry.presence = DirectoryPresence::Missing;
         entry.in_stored_roster = true;
         entry.runs_incarnation = Some(roster_entry.incarnation_unix_ms);
         entry.schedule_renewal(now, &mut self.renewal_queue);
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -6,7 +6,7 @@
 use crate::owner::commit_queue::{
     CommitPriority, ENTRIES_PER_ENDED, ENTRIES_PER_PROGRESS, MAX_COMMIT_ENTRIES,
 };
-use crate::owner::upstream_entry::{ContactState, RunPhase};
+use crate::owner::upstream_entry::{ContactState, DirectoryPresence, RunPhase};
 use crate::owner::{
     CommitBatch, CommitOutcome, EndedSubmission, OwnerEffect, OwnerMachine, RenewOrder,
     RosterEntry, StopOrder, StopReason,
@@ -93,7 +93,7 @@
             .filter(|(id, entry)| {
                 !entry.runs.is_empty()
                     || self.awaiting_first_reply.contains_key(*id)
-                    || !entry.in_directory
+                    || entry.presence != DirectoryPresence::Listed
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -106,7 +106,7 @@
             let not_in_directory = self
                 .upstreams
                 .get(&id)
-                .is_some_and(|entry| !entry.in_directory);
+                .is_some_and(|entry| entry.presence != DirectoryPresence::Listed);
             if not_in_directory {
                 self.upstreams.remove(&id);
                 self.view_cache.clear();
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -108,6 +108,17 @@
     RecordedSilent,
 }
 
+/// Whether the directory has an entry of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum DirectoryPresence {
+    /// It has a readable entry.
+    Listed,
+    /// Its entry describes no usable upstream, which says nothing about the upstream itself.
+    Unreadable,
+    /// It has none.
+    Missing,
+}
+
 /// A reading of an upstream's clock.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ClockReading {
@@ -120,8 +131,7 @@
 pub(super) struct UpstreamEntry {
     pub index: UpstreamIndex,
     pub report: UpstreamReport,
-    /// Whether the directory currently lists it.
-    pub in_directory: bool,
+    pub presence: DirectoryPresence,
     /// A time before the latest report was written; `None` if this owner's reads do not show one.
     pub report_written_after: Option<u64>,
     /// Whether it answers; nothing is started there unless this is `Responsive`.
@@ -183,7 +193,7 @@
         Self {
             index,
             report,
-            in_directory: true,
+            presence: DirectoryPresence::Listed,
             report_written_after: None,
             contact: ContactState::Responsive,
             in_stored_roster: false,
@@ -283,7 +293,7 @@
 
     /// Returns whether orders that are already decided may be sent to the upstream.
     pub fn is_reachable(&self, now: u64, max_contact_age_ms: u64) -> bool {
-        self.in_directory
+        self.presence == DirectoryPresence::Listed
             && self.in_stored_roster
             && self.contact == ContactState::Responsive
             && !self.report.draining
--- a/crates/fleet/tests/fleet/capacity.rs
+++ b/crates/fleet/tests/fleet/capacity.rs
@@ -91,8 +91,8 @@
 #[test]
 fn older_report_does_not_replace_a_newer_one() {
     let mut simulation = busy_upstream();
-    let sized = |sequence: u64, cores: u64| UpstreamReport {
-        sequence,
+    let sized = |revision: u64, cores: u64| UpstreamReport {
+        revision,
         capacity: ResourceSize::new(cores * 1000, 16_384, 0),
         ..report("u0")
     };
@@ -103,7 +103,10 @@
     let now = simulation.now;
 
     if let Some(owner) = &mut simulation.owner {
-        owner.set_directory(now, directory_read(now, vec![sized(newest - 1, 4)]));
+        owner.set_directory(
+            now,
+            directory_read(now, vec![sized((newest - 1) * 1500, 4)]),
+        );
     }
     let end = simulation.now + 200;
     let peak = peak_runs(&mut simulation, end);
--- a/crates/fleet/tests/fleet/fixtures.rs
+++ b/crates/fleet/tests/fleet/fixtures.rs
@@ -1,6 +1,6 @@
 //! Configurations, submissions and upstreams shared by the tests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use lagoonnotch_fleet::model::{
@@ -99,6 +99,7 @@
 pub fn directory_read(now: u64, reports: Vec<UpstreamReport>) -> DirectoryRead {
     DirectoryRead {
         reports,
+        unreadable: BTreeSet::new(),
         requested_at: now,
         revision: now,
     }
@@ -113,7 +114,6 @@
         address: id.into(),
         failure_domain: "west".into(),
         draining: false,
-        sequence: 0,
         revision: 0,
         capacity: ResourceSize::new(4000, 16_384, 0),
         labels: Arc::from(["a".into(), "rack-1".into()]),
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -311,6 +311,19 @@
     }
 }
 
+/// Guards against starting the tasks of a draining upstream twice because another writer has made its
+/// directory entry unreadable, which says nothing about the upstream.
+#[test]
+fn unreadable_entry_is_no_departure() {
+    let (mut simulation, upstream) = fleet_with_draining_upstream(11);
+
+    simulation.unreadable.insert(upstream);
+    simulation.run_until(simulation.now + 4000);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.started.len(), 1);
+}
+
 /// Guards against unblocking the next step too early: a finished run that is listed after its lease
 /// expired must not complete the task while a newer attempt runs.
 #[test]
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use lagoonnotch_fleet::model::{
-    ApprovedConfig, ProgressRecord, ResourceSize, RunOutcome, StartOutcome, StopOutcome,
-    SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
+    ApprovedConfig, DirectoryRead, ProgressRecord, ResourceSize, RunOutcome, StartOutcome,
+    StopOutcome, SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, CrashReport, OwnerEffect, OwnerMachine, OwnerSettings,
@@ -96,6 +96,8 @@
     pub partitioned: HashMap<Arc<str>, u64>,
     /// Upstreams whose reports do not reach the store, and since when.
     pub cut_off_from_store: HashMap<Arc<str>, u64>,
+    /// Upstreams whose directory entries another writer has made unreadable.
+    pub unreadable: BTreeSet<Arc<str>>,
     /// Time until which the owner cannot read the directory.
     pub directory_unreadable_until: u64,
     pub config: Arc<ApprovedConfig>,
@@ -158,6 +160,7 @@
             upstreams,
             partitioned: HashMap::new(),
             cut_off_from_store: HashMap::new(),
+            unreadable: BTreeSet::new(),
             directory_unreadable_until: 0,
             config,
             submissions: BTreeMap::new(),
@@ -297,9 +300,14 @@
             let reports = self
                 .upstreams
                 .values()
+                .filter(|upstream| !self.unreadable.contains(&upstream.id))
                 .filter_map(|upstream| self.directory_entry(upstream))
                 .collect();
-            owner.set_directory(self.now, directory_read(self.now, reports));
+            let read = DirectoryRead {
+                unreadable: self.unreadable.clone(),
+                ..directory_read(self.now, reports)
+            };
+            owner.set_directory(self.now, read);
         }
         self.tick_and_send(&mut owner);
         let stepped_down = owner.has_stepped_down();
@@ -311,8 +319,7 @@
     fn directory_entry(&self, upstream: &SimulatedUpstream) -> Option<UpstreamReport> {
         let cut_off_at = self.cut_off_from_store.get(&upstream.id);
         let reporting_until = cut_off_at.map_or(self.now, |at| self.now.min(*at));
-        let sequence = reporting_until / REPORT_INTERVAL_MS;
-        let written_at = sequence * REPORT_INTERVAL_MS;
+        let written_at = reporting_until - reporting_until % REPORT_INTERVAL_MS;
         let expired = self.now >= written_at + 3 * REPORT_INTERVAL_MS;
         if upstream.unlisted || expired {
             return None;
@@ -321,7 +328,6 @@
             incarnation_unix_ms: upstream.incarnation_unix_ms,
             capacity: upstream.capacity,
             draining: upstream.draining,
-            sequence,
             revision: written_at,
             ..report(&upstream.id)
         })
--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -1,14 +1,16 @@
 //! The owner's periodic reads of the store: the upstream directory, and the submissions and
 //! cancellations that hosts accepted.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use lagoonnotch_fleet::model::DirectoryRead;
+use serde_json::json;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::{now_ms, unix_ms};
 use crate::control::ControlInput;
+use crate::event::FleetEvent;
 use crate::ownership::OwnershipContext;
 use crate::ports::{ListRequest, StoreError, StoreItem, WatchRequest};
 use crate::store::{
@@ -44,29 +46,65 @@
 /// Minimum time between full listings, as a multiple of the duration of the last one.
 const RELIST_INTERVAL_FACTOR: u64 = 20;
 
+/// Unreadable directory entries that have been logged: their keys and revisions.
+#[derive(Debug, Default)]
+pub(super) struct DirectoryFindings {
+    logged: HashMap<String, u64>,
+}
+
+impl DirectoryFindings {
+    /// Logs the entries of a read that were not unreadable at this revision before.
+    fn log_new(&mut self, unreadable: &[(&StoreItem, String)]) {
+        let mut current = HashMap::new();
+        for (item, finding) in unreadable {
+            if self.logged.get(&item.key) != Some(&item.revision) {
+                FleetEvent::DirectoryEntryUnreadable
+                    .emit(json!({"key": item.key, "finding": finding}));
+            }
+            current.insert(item.key.clone(), item.revision);
+        }
+        self.logged = current;
+    }
+}
+
 impl OwnershipContext {
     /// Reads the directory once; returns `None` on failure.
-    pub(super) async fn read_directory(&self) -> Option<DirectoryRead> {
+    pub(super) async fn read_directory(
+        &self,
+        findings: &mut DirectoryFindings,
+    ) -> Option<DirectoryRead> {
         let requested_at = now_ms();
         let listing = list_all(&self.ports.store, &self.ports.directory_prefix);
         let (items, revision) = timeout(DIRECTORY_TIMEOUT, listing).await.ok()?.ok()?;
         self.view.record_store_response(requested_at);
-        let reports = items
+        let mut reports = Vec::new();
+        let mut unreadable = Vec::new();
+        for item in &items {
+            match (self.ports.parse_report)(item) {
+                Ok(report) => reports.push(report),
+                Err(finding) => unreadable.push((item, finding)),
+            }
+        }
+        let prefix = &*self.ports.directory_prefix;
+        let unreadable_ids = unreadable
             .iter()
-            .filter_map(|item| (self.ports.parse_report)(item))
+            .filter_map(|(item, _)| item.key.strip_prefix(prefix))
+            .map(Into::into)
             .collect();
+        findings.log_new(&unreadable);
         Some(DirectoryRead {
             reports,
+            unreadable: unreadable_ids,
             requested_at,
             revision,
         })
     }
 
     /// Reads the directory periodically until the task is dropped.
-    pub(super) async fn poll_directory(self) {
+    pub(super) async fn poll_directory(self, mut findings: DirectoryFindings) {
         loop {
             sleep(DIRECTORY_READ_INTERVAL).await;
-            if let Some(read) = self.read_directory().await {
+            if let Some(read) = self.read_directory(&mut findings).await {
                 self.control.send(ControlInput::DirectoryRead(read)).await;
             }
         }
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -16,6 +16,7 @@
 use crate::control::{ControlHandle, ControlInput, HostView, OwnerInfo, OwnershipGrant};
 use crate::event::FleetEvent;
 use crate::metrics::{WorkKind, measured};
+use crate::ownership::owner_polling::DirectoryFindings;
 use crate::ownership::owner_watch::{OwnerHealth, OwnerObservation};
 use crate::ownership::{ClaimEvidence, claim_reason};
 use crate::peer::PeerClients;
@@ -379,7 +380,8 @@
             return;
         }
         recovered.previous_owner_active_ms = previous_owner_active_ms;
-        let directory = self.read_directory().await;
+        let mut findings = DirectoryFindings::default();
+        let directory = self.read_directory(&mut findings).await;
         self.control
             .send(ControlInput::OwnershipGranted(Box::new(OwnershipGrant {
                 epoch,
@@ -396,7 +398,10 @@
             address: self.address.clone(),
             epoch,
         }));
-        let directory = tokio::spawn(measured(WorkKind::Polling, self.clone().poll_directory()));
+        let directory = tokio::spawn(measured(
+            WorkKind::Polling,
+            self.clone().poll_directory(findings),
+        ));
         let watch = self.clone().watch_accepted(revision);
         let accepted = tokio::spawn(measured(WorkKind::Polling, watch));
         let expiry = tokio::spawn(self.clone().sweep_expired_final_states());
--- a/crates/host/src/ports/platform_ports.rs
+++ b/crates/host/src/ports/platform_ports.rs
@@ -50,8 +50,8 @@
     pub period_ms: u64,
 }
 
-/// Parses a directory entry; returns `None` if it does not describe a usable upstream.
-pub type ReportParser = Arc<dyn Fn(&StoreItem) -> Option<UpstreamReport> + Send + Sync>;
+/// Parses a directory entry; the error says why it describes no usable upstream.
+pub type ReportParser = Arc<dyn Fn(&StoreItem) -> Result<UpstreamReport, String> + Send + Sync>;
 
 /// Parses the items written by the operator.
 pub type OperatorParser = Arc<dyn Fn(&[StoreItem]) -> OperatorState + Send + Sync>;
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -612,19 +612,20 @@
     }
 
     fn read_directory(&mut self) {
-        let (now, sequence) = (self.now, self.now / UPSTREAM_REPORT_PERIOD_MS);
+        let now = self.now;
+        let revision = now - now % UPSTREAM_REPORT_PERIOD_MS;
         let reports = self
             .upstreams
             .values()
             .map(|upstream| UpstreamReport {
-                sequence,
-                revision: sequence * UPSTREAM_REPORT_PERIOD_MS,
+                revision,
                 ..upstream.report.clone()
             })
             .collect();
         // Virtual time serves as the store's revision.
         let read = DirectoryRead {
             reports,
+            unreadable: BTreeSet::new(),
             requested_at: now,
             revision: now,
         };
@@ -879,7 +880,6 @@
                 address: id.clone(),
                 failure_domain: DOMAINS[number as usize % DOMAINS.len()].into(),
                 draining: false,
-                sequence: 0,
                 revision: 0,
                 capacity,
                 labels: Arc::from([
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -91,7 +91,6 @@
                 address: id.into(),
                 failure_domain: "west".into(),
                 draining: false,
-                sequence: 0,
                 revision: 0,
                 capacity,
                 labels: Arc::from([]),
