Test when a caller's key is accepted

Change: two tests of `EntryService` against a store without submissions; the request's time of arrival is a parameter, so they do not depend on time. No change of code.

--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a host's components against an in-memory store.
 
+mod api_keys;
 mod claims;
 mod commits;
 mod config_freshness;
