Log up to when the owner knows what was accepted

Callers are told how many submissions wait, and the log could not say how far such a count is complete. The owner now keeps the time before which every stored submission has been sent to its control actor (the begin of a listing, or of a watch that was answered). Event 1034 gives it for counts of the host's own (unknown_ms); events 1035 and 1036 say when an owner counts without knowing what was accepted over 3 s ago. No decision changes.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -34,6 +34,10 @@
 /// Time between two counts of the waiting submissions, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 250;
 
+/// Age up to which accepted submissions may be unknown to an owner whose counts are reported, in
+/// milliseconds: the time in which the platform expects an accepted submission to be visible.
+const MAX_UNKNOWN_MS: u64 = 3000;
+
 /// State of this host's ownership.
 struct ActiveOwnership {
     machine: OwnerMachine,
@@ -43,6 +47,29 @@
     suspended: bool,
     /// When the waiting submissions were last counted; 0 before the first count.
     counted_at: u64,
+    /// Every submission that was stored before this time is known, in milliseconds of the host's
+    /// clock.
+    known_until: u64,
+    /// Whether the last count lacked no submission older than `MAX_UNKNOWN_MS`.
+    counts_complete: bool,
+}
+
+impl ActiveOwnership {
+    /// Checks whether a count made as of `requested_at` lacks no submission older than
+    /// `MAX_UNKNOWN_MS`, and logs changes.
+    fn check_completeness(&mut self, requested_at: u64) {
+        let unknown_ms = requested_at.saturating_sub(self.known_until);
+        let is_complete = unknown_ms <= MAX_UNKNOWN_MS;
+        if is_complete != self.counts_complete {
+            self.counts_complete = is_complete;
+            let event = if is_complete {
+                FleetEvent::WaitingCountsComplete
+            } else {
+                FleetEvent::WaitingCountsIncomplete
+            };
+            event.emit(json!({"epoch": self.machine.epoch(), "unknown_ms": unknown_ms}));
+        }
+    }
 }
 
 /// A host that has sent a heartbeat to this one while it accepted policy queries.
@@ -166,10 +193,12 @@
         // A host that may have been replaced does not know what a successor accepts.
         if may_act && now >= ownership.counted_at + COUNT_INTERVAL_MS {
             ownership.counted_at = now;
+            ownership.check_completeness(requested_at);
             self.view.set_waiting_counts(WaitingCounts {
                 epoch,
                 by_queue: ownership.machine.waiting_counts(),
                 counted_at: requested_at,
+                known_until: Some(ownership.known_until),
             });
         }
         for effect in ownership.machine.take_effects() {
@@ -240,6 +269,8 @@
             valid_until: grant.valid_until,
             suspended: false,
             counted_at: 0,
+            known_until: grant.known_until,
+            counts_complete: true,
         });
     }
 
@@ -280,6 +311,12 @@
                     machine.cancel(now, &id);
                 }
             }
+            ControlInput::AcceptedKnown {
+                epoch: known_epoch,
+                until,
+            } if known_epoch == epoch => {
+                ownership.known_until = ownership.known_until.max(until);
+            }
             ControlInput::StaleCancellations(ids) => machine.add_stale_cancels(ids),
             ControlInput::ExpiredFinalStates(ids) => machine.add_expired_results(ids),
             ControlInput::OwnershipRenewed {
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -21,6 +21,9 @@
     pub recovered: RecoveredState,
     /// Until when the host may act as owner, in milliseconds of its clock.
     pub valid_until: u64,
+    /// The recovered state has every submission that was stored before this time, in milliseconds of
+    /// the host's clock.
+    pub known_until: u64,
 }
 
 /// A parsed `NewSubmission`: the record, and the revision at which it was created.
@@ -37,6 +40,13 @@
     SubmissionsStored(Vec<AcceptedSubmission>),
     /// Cancellations were stored; carries the identifiers of their submissions.
     CancellationsStored(Vec<Arc<str>>),
+    /// Every submission that was stored before a time has been sent to the control actor.
+    AcceptedKnown {
+        /// Epoch of the ownership.
+        epoch: u64,
+        /// The time, in milliseconds of the host's clock.
+        until: u64,
+    },
     /// Cancellations without a stored submission were found, because the submissions have ended.
     StaleCancellations(Vec<Arc<str>>),
     /// The retention time of the final states of these submissions has passed.
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -31,6 +31,9 @@
     pub by_queue: HashMap<Arc<str>, u64>,
     /// Time at which the owner counted, or a time before that, in milliseconds of this host's clock.
     pub counted_at: u64,
+    /// The owner knew every submission that was stored before this time, in milliseconds of this
+    /// host's clock; `None` if the owner is another host, which does not report it.
+    pub known_until: Option<u64>,
 }
 
 /// The number of waiting submissions of a queue.
@@ -42,6 +45,9 @@
     pub age_ms: u64,
     /// Epoch of the owner that counted.
     pub epoch: u64,
+    /// Maximum age of a submission that the number may lack, in milliseconds; `None` if the owner is
+    /// another host.
+    pub unknown_ms: Option<u64>,
 }
 
 /// The owner according to the store.
@@ -296,10 +302,12 @@
     pub fn waiting_count(&self, queue: &str) -> Option<WaitingCount> {
         let state = self.lock();
         let counts = state.waiting_counts.as_ref()?;
+        let now = now_ms();
         Some(WaitingCount {
             count: counts.by_queue.get(queue).copied().unwrap_or(0),
-            age_ms: now_ms().saturating_sub(counts.counted_at),
+            age_ms: now.saturating_sub(counts.counted_at),
             epoch: counts.epoch,
+            unknown_ms: counts.known_until.map(|until| now.saturating_sub(until)),
         })
     }
 
--- a/crates/host/src/entry/entry_service.rs
+++ b/crates/host/src/entry/entry_service.rs
@@ -211,6 +211,7 @@
             "count": waiting.count,
             "age_ms": waiting.age_ms,
             "epoch": waiting.epoch,
+            "unknown_ms": waiting.unknown_ms,
         }));
         EntryResponse::Waiting(waiting.count)
     }
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -91,9 +91,13 @@
     RequestUnsettled = 1032, Warn;
     /// A cancellation was stored.
     CancelStored = 1033, Info;
-    /// A caller was told how many submissions wait; says in which epoch they were counted, and the
-    /// maximum age of the count.
+    /// A caller was told how many submissions wait; says in which epoch they were counted, the
+    /// maximum age of the count, and at the owner the maximum age of a submission that it may lack.
     WaitingCountReturned = 1034, Info;
+    /// The owner may not know all submissions that hosts accepted some seconds ago.
+    WaitingCountsIncomplete = 1035, Warn;
+    /// The owner knows all submissions that hosts accepted some seconds ago again.
+    WaitingCountsComplete = 1036, Info;
     /// This host attempts to become the owner.
     OwnershipClaimed = 1040, Info;
     /// This host became the owner and recovered the fleet's state.
--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -110,19 +110,22 @@
         }
     }
 
-    /// Watches for new submissions and cancellations until the task is dropped.
-    pub(super) async fn watch_accepted(self, mut revision: u64) {
+    /// Watches for new submissions and cancellations after `revision` until the task is dropped.
+    /// Everything that was stored before `known_until` has been sent to the control actor.
+    pub(super) async fn watch_accepted(self, epoch: u64, known_until: u64, mut revision: u64) {
         let mut listed_at = now_ms();
         let mut relist_ms = RELIST_INTERVAL_MS;
+        self.report_known(epoch, known_until).await;
         loop {
             sleep(WATCH_INTERVAL).await;
-            if now_ms().saturating_sub(listed_at) > relist_ms {
-                let began_at = now_ms();
+            let began_at = now_ms();
+            if began_at.saturating_sub(listed_at) > relist_ms {
                 if let Some(listed_revision) = self.list_accepted().await {
                     revision = listed_revision;
                     listed_at = now_ms();
                     relist_ms =
                         RELIST_INTERVAL_MS.max((listed_at - began_at) * RELIST_INTERVAL_FACTOR);
+                    self.report_known(epoch, began_at).await;
                 }
                 continue;
             }
@@ -135,11 +138,13 @@
                 Ok(response) => {
                     revision = response.revision;
                     self.forward_accepted(&response.items).await;
+                    self.report_known(epoch, began_at).await;
                 }
                 Err(StoreError::Compacted) => {
                     if let Some(listed_revision) = self.list_accepted().await {
                         revision = listed_revision;
                         listed_at = now_ms();
+                        self.report_known(epoch, began_at).await;
                     }
                 }
                 Err(_) => sleep(STORE_RETRY_DELAY).await,
@@ -147,6 +152,12 @@
         }
     }
 
+    /// Reports to the control actor that everything stored before `until` has been sent to it.
+    async fn report_known(&self, epoch: u64, until: u64) {
+        let input = ControlInput::AcceptedKnown { epoch, until };
+        self.control.send(input).await;
+    }
+
     /// Lists all stored submissions and cancellations. Pages are read in key order, cancellations
     /// before submissions, so a cancellation without a listed submission belongs to one that has
     /// ended.
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -180,6 +180,7 @@
                         epoch: owner.epoch,
                         by_queue: reply.waiting_counts,
                         counted_at: sent_at.saturating_sub(MAX_REPORTED_COUNT_AGE_MS),
+                        known_until: None,
                     });
                 }
                 if unanswered {
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -369,9 +369,10 @@
     ) {
         let valid_until = requested_at + lease.ttl_ms.saturating_sub(LEASE_MARGIN_MS);
         let renewal = tokio::spawn(self.clone().renew(epoch, lease));
-        let (mut recovered, revision) = loop {
+        let (mut recovered, revision, known_until) = loop {
+            let began_at = now_ms();
             match read_recovery_state(&self.ports.store).await {
-                Ok(recovered) => break recovered,
+                Ok((recovered, revision)) => break (recovered, revision, began_at),
                 Err(_) if renewal.is_finished() => return,
                 Err(_) => sleep(RECOVERY_RETRY_DELAY).await,
             }
@@ -388,6 +389,7 @@
                 generation: record.generation,
                 recovered,
                 valid_until,
+                known_until,
             })))
             .await;
         if let Some(read) = directory {
@@ -402,7 +404,7 @@
             WorkKind::Polling,
             self.clone().poll_directory(findings),
         ));
-        let watch = self.clone().watch_accepted(revision);
+        let watch = self.clone().watch_accepted(epoch, known_until, revision);
         let accepted = tokio::spawn(measured(WorkKind::Polling, watch));
         let expiry = tokio::spawn(self.clone().sweep_expired_final_states());
         let _ = renewal.await;
--- a/crates/host/tests/host/waiting_counts.rs
+++ b/crates/host/tests/host/waiting_counts.rs
@@ -19,6 +19,7 @@
         epoch,
         by_queue: HashMap::from([(Arc::from("check"), 12)]),
         counted_at,
+        known_until: None,
     }
 }
 
