Give waiting counts only if little can be missing in them

A count is right for what the owner knows, and nothing said how much of what hosts accepted that is: after a long recovery the owner counted at once, before its first watch; with a watch that fails, or hears nothing, counts stayed new for up to 8 s or more.

The owner now counts only if it knows everything that was stored over 3 s before (visible_ms). With the 1.9 s for which a count may be shown that is under the 5 s of the rule; otherwise hosts refuse, as they do without an owner. What it knows follows from the store's responses (AcceptedCursor): the begin of a listing, or the sending of a watch whose response has every submission that hosts had reported to the owner by then. A watch without changes no longer moves the position, so the next one reports what it missed. The first watch of an owner is sent at once, and watches wait 0.8 s instead of 2 s. Messages between hosts keep their form.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -55,9 +55,9 @@
 }
 
 impl ActiveOwnership {
-    /// Checks whether a count made as of `requested_at` lacks no submission older than
+    /// Returns whether a count made as of `requested_at` lacks no submission older than
     /// `MAX_UNKNOWN_MS`, and logs changes.
-    fn check_completeness(&mut self, requested_at: u64) {
+    fn check_completeness(&mut self, requested_at: u64) -> bool {
         let unknown_ms = requested_at.saturating_sub(self.known_until);
         let is_complete = unknown_ms <= MAX_UNKNOWN_MS;
         if is_complete != self.counts_complete {
@@ -69,6 +69,7 @@
             };
             event.emit(json!({"epoch": self.machine.epoch(), "unknown_ms": unknown_ms}));
         }
+        is_complete
     }
 }
 
@@ -191,9 +192,9 @@
         let valid_until = ownership.valid_until;
         let epoch = ownership.machine.epoch();
         // A host that may have been replaced does not know what a successor accepts.
-        if may_act && now >= ownership.counted_at + COUNT_INTERVAL_MS {
+        let is_due = may_act && now >= ownership.counted_at + COUNT_INTERVAL_MS;
+        if is_due && ownership.check_completeness(requested_at) {
             ownership.counted_at = now;
-            ownership.check_completeness(requested_at);
             self.view.set_waiting_counts(WaitingCounts {
                 epoch,
                 by_queue: ownership.machine.waiting_counts(),
@@ -464,6 +465,12 @@
         if self.ownership.is_none() {
             return false;
         }
+        let revisions = message
+            .0
+            .iter()
+            .map(|(_, create_revision)| *create_revision);
+        self.view
+            .record_reported_revision(revisions.max().unwrap_or(0));
         self.apply_input(ControlInput::SubmissionsStored(message.0));
         self.request_tick().await;
         true
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -86,6 +86,8 @@
     stopping: bool,
     /// Epoch of this host's ownership, once it has recovered.
     owned_epoch: Option<u64>,
+    /// Highest revision of a submission that a host reported to this one as the owner.
+    reported_revision: u64,
 }
 
 /// State shared by the components of a host.
@@ -222,6 +224,18 @@
         self.lock().owned_epoch
     }
 
+    /// Records that a host reported a submission stored at this revision to this host.
+    pub fn record_reported_revision(&self, revision: u64) {
+        let mut state = self.lock();
+        state.reported_revision = state.reported_revision.max(revision);
+    }
+
+    /// Returns the highest revision of a submission that a host reported to this one; 0 if none did.
+    #[must_use]
+    pub fn reported_revision(&self) -> u64 {
+        self.lock().reported_revision
+    }
+
     /// Sets the hosts that the owner lists.
     pub fn set_peers(&self, peers: Vec<PeerInfo>) {
         let mut hasher = DefaultHasher::new();
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -1,9 +1,11 @@
 //! Ownership of the fleet: claims, renewals, and the owner's reads of the store.
 
+mod accepted_cursor;
 mod claim_policy;
 mod owner_polling;
 mod owner_watch;
 mod ownership_claimer;
 
+pub use accepted_cursor::AcceptedCursor;
 pub use claim_policy::{ClaimEvidence, claim_reason};
 pub use ownership_claimer::{OwnershipClaimer, OwnershipContext, is_much_smaller};
--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -11,7 +11,7 @@
 use crate::clock::{now_ms, unix_ms};
 use crate::control::ControlInput;
 use crate::event::FleetEvent;
-use crate::ownership::OwnershipContext;
+use crate::ownership::{AcceptedCursor, OwnershipContext};
 use crate::ports::{ListRequest, StoreError, StoreItem, WatchRequest};
 use crate::store::{
     CANCEL_PREFIX, ENDED_PREFIX, EndedRecord, SUBMISSION_PREFIX, TAKEN_PREFIX, list_all,
@@ -24,15 +24,13 @@
 /// Maximum time of a read of the directory.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Maximum time that a watch for new submissions waits, in milliseconds.
-const WATCH_TIMEOUT_MS: u64 = 2000;
+/// Maximum time that a watch for new submissions waits, in milliseconds. The owner's counts are given
+/// only if a watch shows what it knows at least every 3 s.
+const WATCH_TIMEOUT_MS: u64 = 800;
 
 /// Time between watches for new submissions; hosts also notify the owner directly.
 const WATCH_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Delay after a failed request to the store.
-const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
-
 /// Time after which all submissions are listed again, in milliseconds; watches may miss some.
 const RELIST_INTERVAL_MS: u64 = 8000;
 
@@ -110,58 +108,57 @@
         }
     }
 
-    /// Watches for new submissions and cancellations after `revision` until the task is dropped.
-    /// Everything that was stored before `known_until` has been sent to the control actor.
-    pub(super) async fn watch_accepted(self, epoch: u64, known_until: u64, mut revision: u64) {
+    /// Watches for new submissions and cancellations until the task is dropped.
+    ///
+    /// The first watch is sent at once: after a long recovery much may have been accepted that the
+    /// recovered state lacks.
+    pub(super) async fn watch_accepted(self, epoch: u64, mut cursor: AcceptedCursor) {
         let mut listed_at = now_ms();
         let mut relist_ms = RELIST_INTERVAL_MS;
-        self.report_known(epoch, known_until).await;
         loop {
-            sleep(WATCH_INTERVAL).await;
             let began_at = now_ms();
-            if began_at.saturating_sub(listed_at) > relist_ms {
-                if let Some(listed_revision) = self.list_accepted().await {
-                    revision = listed_revision;
-                    listed_at = now_ms();
-                    relist_ms =
-                        RELIST_INTERVAL_MS.max((listed_at - began_at) * RELIST_INTERVAL_FACTOR);
-                    self.report_known(epoch, began_at).await;
-                }
-                continue;
-            }
-            let request = WatchRequest {
-                prefix: TAKEN_PREFIX.to_owned(),
-                after: revision,
-                wait_ms: WATCH_TIMEOUT_MS,
-            };
-            match (self.ports.store.watch)(request).await {
-                Ok(response) => {
-                    revision = response.revision;
-                    self.forward_accepted(&response.items).await;
-                    self.report_known(epoch, began_at).await;
-                }
-                Err(StoreError::Compacted) => {
-                    if let Some(listed_revision) = self.list_accepted().await {
-                        revision = listed_revision;
-                        listed_at = now_ms();
-                        self.report_known(epoch, began_at).await;
-                    }
-                }
-                Err(_) => sleep(STORE_RETRY_DELAY).await,
+            let is_list_due = began_at.saturating_sub(listed_at) > relist_ms
+                || !self.watch_once(&mut cursor).await;
+            if is_list_due && let Some(listed) = self.list_accepted().await {
+                cursor = listed;
+                listed_at = now_ms();
+                relist_ms = RELIST_INTERVAL_MS
+                    .max(listed_at.saturating_sub(began_at) * RELIST_INTERVAL_FACTOR);
             }
+            let until = cursor.known_until();
+            self.control
+                .send(ControlInput::AcceptedKnown { epoch, until })
+                .await;
+            sleep(WATCH_INTERVAL).await;
         }
     }
 
-    /// Reports to the control actor that everything stored before `until` has been sent to it.
-    async fn report_known(&self, epoch: u64, until: u64) {
-        let input = ControlInput::AcceptedKnown { epoch, until };
-        self.control.send(input).await;
+    /// Watches once; returns false if the store no longer has the changes, so that they must be
+    /// listed.
+    async fn watch_once(&self, cursor: &mut AcceptedCursor) -> bool {
+        let reported_revision = self.view.reported_revision();
+        let request = WatchRequest {
+            prefix: TAKEN_PREFIX.to_owned(),
+            after: cursor.revision(),
+            wait_ms: WATCH_TIMEOUT_MS,
+        };
+        let sent_at = now_ms();
+        match (self.ports.store.watch)(request).await {
+            Ok(response) => {
+                self.forward_accepted(&response.items).await;
+                cursor.apply_watch(sent_at, &response, reported_revision);
+                true
+            }
+            Err(StoreError::Compacted) => false,
+            Err(_) => true,
+        }
     }
 
     /// Lists all stored submissions and cancellations. Pages are read in key order, cancellations
     /// before submissions, so a cancellation without a listed submission belongs to one that has
-    /// ended.
-    async fn list_accepted(&self) -> Option<u64> {
+    /// ended. Returns the position in the changes from which to watch.
+    async fn list_accepted(&self) -> Option<AcceptedCursor> {
+        let began_at = now_ms();
         let (items, revision) = list_all(&self.ports.store, TAKEN_PREFIX).await.ok()?;
         self.forward_accepted(&items).await;
         let listed: HashSet<_> = items
@@ -179,7 +176,7 @@
                 .send(ControlInput::StaleCancellations(stale_ids))
                 .await;
         }
-        Some(revision)
+        Some(AcceptedCursor::after_listing(began_at, revision))
     }
 
     /// Reads the final states of ended submissions page by page, and requests the deletion of
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -18,7 +18,7 @@
 use crate::metrics::{WorkKind, measured};
 use crate::ownership::owner_polling::DirectoryFindings;
 use crate::ownership::owner_watch::{OwnerHealth, OwnerObservation};
-use crate::ownership::{ClaimEvidence, claim_reason};
+use crate::ownership::{AcceptedCursor, ClaimEvidence, claim_reason};
 use crate::peer::PeerClients;
 use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteOutcome, WriteRequest};
 use crate::store::{
@@ -369,10 +369,12 @@
     ) {
         let valid_until = requested_at + lease.ttl_ms.saturating_sub(LEASE_MARGIN_MS);
         let renewal = tokio::spawn(self.clone().renew(epoch, lease));
-        let (mut recovered, revision, known_until) = loop {
+        let (mut recovered, cursor) = loop {
             let began_at = now_ms();
             match read_recovery_state(&self.ports.store).await {
-                Ok((recovered, revision)) => break (recovered, revision, began_at),
+                Ok((recovered, revision)) => {
+                    break (recovered, AcceptedCursor::after_listing(began_at, revision));
+                }
                 Err(_) if renewal.is_finished() => return,
                 Err(_) => sleep(RECOVERY_RETRY_DELAY).await,
             }
@@ -389,7 +391,7 @@
                 generation: record.generation,
                 recovered,
                 valid_until,
-                known_until,
+                known_until: cursor.known_until(),
             })))
             .await;
         if let Some(read) = directory {
@@ -404,7 +406,7 @@
             WorkKind::Polling,
             self.clone().poll_directory(findings),
         ));
-        let watch = self.clone().watch_accepted(epoch, known_until, revision);
+        let watch = self.clone().watch_accepted(epoch, cursor);
         let accepted = tokio::spawn(measured(WorkKind::Polling, watch));
         let expiry = tokio::spawn(self.clone().sweep_expired_final_states());
         let _ = renewal.await;
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -1,11 +1,13 @@
 //! Tests of a host's components against an in-memory store.
 
+mod accepted_positions;
 mod claims;
 mod commits;
 mod config_freshness;
 mod events;
 mod explain;
 mod fake_store;
+mod incomplete_counts;
 mod notices;
 mod owners;
 mod relay;
