Keep watching while the submissions are listed

Watches and listings took turns in one loop, so that a listing of some thousand submissions held up the watches.

The periodic listing now runs beside the watches. It doesn't move their position; what it shows is known counts all the same.

No test of its own: the loop's timing is not covered by tests; the tests of the host crate pass.

--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -34,6 +34,9 @@
 /// Time after which all submissions are listed again, in milliseconds; watches may miss some.
 const RELIST_INTERVAL_MS: u64 = 8000;
 
+/// Delay after a failed listing, in milliseconds.
+const RELIST_RETRY_DELAY_MS: u64 = 700;
+
 /// Time between reads of a page of final states to find expired ones.
 const FINAL_STATE_CHECK_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -108,31 +111,54 @@
         }
     }
 
+    /// Watches for new submissions and cancellations, and lists them periodically, until the task is
+    /// dropped. A listing may take seconds and does not delay the watches.
+    pub(super) async fn poll_accepted(self, epoch: u64, cursor: AcceptedCursor) {
+        tokio::join!(
+            self.watch_accepted(epoch, cursor),
+            self.relist_accepted(epoch)
+        );
+    }
+
     /// Watches for new submissions and cancellations until the task is dropped.
     ///
     /// The first watch is sent at once: after a long recovery much may have been accepted that the
     /// recovered state lacks.
-    pub(super) async fn watch_accepted(self, epoch: u64, mut cursor: AcceptedCursor) {
-        let mut listed_at = now_ms();
-        let mut relist_ms = RELIST_INTERVAL_MS;
+    async fn watch_accepted(&self, epoch: u64, mut cursor: AcceptedCursor) {
         loop {
-            let began_at = now_ms();
-            let is_list_due = began_at.saturating_sub(listed_at) > relist_ms
-                || !self.watch_once(&mut cursor).await;
-            if is_list_due && let Some(listed) = self.list_accepted().await {
+            if !self.watch_once(&mut cursor).await
+                && let Some(listed) = self.list_accepted().await
+            {
                 cursor = listed;
-                listed_at = now_ms();
-                relist_ms = RELIST_INTERVAL_MS
-                    .max(listed_at.saturating_sub(began_at) * RELIST_INTERVAL_FACTOR);
             }
-            let until = cursor.known_until();
-            self.control
-                .send(ControlInput::AcceptedKnown { epoch, until })
-                .await;
+            self.report_known(epoch, cursor).await;
             sleep(WATCH_INTERVAL).await;
         }
     }
 
+    /// Lists all submissions and cancellations periodically until the task is dropped.
+    async fn relist_accepted(&self, epoch: u64) {
+        let mut relist_ms = RELIST_INTERVAL_MS;
+        loop {
+            sleep(Duration::from_millis(relist_ms)).await;
+            let began_at = now_ms();
+            let Some(listed) = self.list_accepted().await else {
+                relist_ms = RELIST_RETRY_DELAY_MS;
+                continue;
+            };
+            let took_ms = now_ms().saturating_sub(began_at);
+            relist_ms = RELIST_INTERVAL_MS.max(took_ms * RELIST_INTERVAL_FACTOR);
+            self.report_known(epoch, listed).await;
+        }
+    }
+
+    /// Reports to the control actor what has been sent to it.
+    async fn report_known(&self, epoch: u64, cursor: AcceptedCursor) {
+        let until = cursor.known_until();
+        let input = ControlInput::AcceptedKnown { epoch, until };
+        self.control.send(input).await;
+    }
+
     /// Watches once; returns false if the store no longer has the changes, so that they must be
     /// listed.
     async fn watch_once(&self, cursor: &mut AcceptedCursor) -> bool {
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -406,7 +406,7 @@
             WorkKind::Polling,
             self.clone().poll_directory(findings),
         ));
-        let watch = self.clone().watch_accepted(epoch, cursor);
+        let watch = self.clone().poll_accepted(epoch, cursor);
         let accepted = tokio::spawn(measured(WorkKind::Polling, watch));
         let expiry = tokio::spawn(self.clone().sweep_expired_final_states());
         let _ = renewal.await;
