--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -31,6 +31,9 @@
     pub by_queue: HashMap<Arc<str>, u64>,
     /// Time at which the owner counted, or a time before that, in milliseconds of this host's clock.
     pub counted_at: u64,
+    /// The owner knew every submission that was stored before this time, in milliseconds of this
+    /// host's clock; `None` if the owner is another host, which does not report it.
+    pub known_until: Option<u64>,
 }
 
 /// The number of waiting submissions of a queue.
@@ -42,6 +45,9 @@
     pub age_ms: u64,
     /// Epoch of the owner that counted.
     pub epoch: u64,
+    /// Maximum age of a submission that the number may lack, in milliseconds; `None` if the owner is
+    /// another host.
+    pub unknown_ms: Option<u64>,
 }
 
 /// The owner according to the store.
@@ -80,6 +86,8 @@
     stopping: bool,
     /// Epoch of this host's ownership, once it has recovered.
     owned_epoch: Option<u64>,
+    /// Highest revision of a submission that a host reported to this one as the owner.
+    reported_revision: u64,
 }
 
 /// State shared by the components of a host.
@@ -216,6 +224,18 @@
         self.lock().owned_epoch
     }
 
+    /// Records that a host reported a submission stored at this revision to this host.
+    pub fn record_reported_revision(&self, revision: u64) {
+        let mut state = self.lock();
+        state.reported_revision = state.reported_revision.max(revision);
+    }
+
+    /// Returns the highest revision of a submission that a host reported to this one; 0 if none did.
+    #[must_use]
+    pub fn reported_revision(&self) -> u64 {
+        self.lock().reported_revision
+    }
+
     /// Sets the hosts that the owner lists.
     pub fn set_peers(&self, peers: Vec<PeerInfo>) {
         let mut hasher = DefaultHasher::new();
@@ -296,10 +316,12 @@
     pub fn waiting_count(&self, queue: &str) -> Option<WaitingCount> {
         let state = self.lock();
         let counts = state.waiting_counts.as_ref()?;
+        let now = now_ms();
         Some(WaitingCount {
             count: counts.by_queue.get(queue).copied().unwrap_or(0),
-            age_ms: now_ms().saturating_sub(counts.counted_at),
+            age_ms: now.saturating_sub(counts.counted_at),
             epoch: counts.epoch,
+            unknown_ms: counts.known_until.map(|until| now.saturating_sub(until)),
         })
     }
 
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a host's components against an in-memory store.
 
+mod accepted_positions;
 mod api_keys;
 mod claims;
 mod commits;
@@ -7,6 +8,7 @@
 mod events;
 mod explain;
 mod fake_store;
+mod incomplete_counts;
 mod notices;
 mod owners;
 mod relay;
