Share the ports of the host's tests

Cause: two test files built the same ports to an empty store without upstreams. Change: `fixtures.rs` builds them. No assertion changes.

--- a/crates/host/tests/host/api_keys.rs
+++ b/crates/host/tests/host/api_keys.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use lagoonnotch_fleet::model::{ApprovedConfig, QueuePolicy, RequestLimits, StartOutcome};
-use lagoonnotch_fleet::model::{StopOutcome, TeamPolicy};
-use lagoonnotch_fleet::owner::{OwnerSettings, QueryOutcome};
+use lagoonnotch_fleet::model::{
+    ApprovedConfig, QueuePolicy, RequestLimits, ResourceSize, TeamPolicy,
+};
+use lagoonnotch_fleet::owner::OwnerSettings;
 use lagoonnotch_host::clock::now_ms;
 use lagoonnotch_host::control::{ControlActor, HostView};
 use lagoonnotch_host::entry::{
@@ -13,9 +14,8 @@
 };
 use lagoonnotch_host::metrics::FleetMetrics;
 use lagoonnotch_host::peer::PeerClients;
-use lagoonnotch_host::ports::{OperatorState, PlatformPorts, RenewOutcome, UpstreamPort, port};
 
-use crate::fake_store::FakeStore;
+use crate::fixtures::idle_ports;
 
 const KEY: &str = "key-1";
 
@@ -40,7 +40,7 @@
     let policy = TeamPolicy {
         name: team.clone(),
         weight: 1,
-        upper_limit: lagoonnotch_fleet::model::ResourceSize::ZERO,
+        upper_limit: ResourceSize::ZERO,
     };
     Arc::new(ApprovedConfig {
         version: revision,
@@ -61,30 +61,8 @@
     })
 }
 
-/// Returns ports to a store that knows no submission, and to no upstream.
-fn ports() -> PlatformPorts {
-    PlatformPorts {
-        store: FakeStore::default().port(),
-        upstream: UpstreamPort {
-            renew_leases: port(|_| std::future::ready(RenewOutcome::Failed)),
-            start: port(|_| std::future::ready(StartOutcome::Unknown)),
-            stop: port(|_| std::future::ready(StopOutcome::Unknown)),
-            query_policy: port(|_| std::future::ready(QueryOutcome::Failed)),
-        },
-        operator_prefix: "operator/".into(),
-        directory_prefix: "directory/".into(),
-        parse_operator_items: Arc::new(|_| OperatorState {
-            config: None,
-            evacuated_domains: BTreeSet::new(),
-            findings: Vec::new(),
-        }),
-        parse_report: Arc::new(|_| Err("no upstream".to_owned())),
-        parse_submission: Arc::new(|_| Err("no submission".to_owned())),
-    }
-}
-
 fn entry_service(view: &HostView) -> EntryService {
-    let (ports, clients) = (ports(), PeerClients::default());
+    let (ports, clients) = (idle_ports(), PeerClients::default());
     let metrics = Arc::new(FleetMetrics::default());
     let control = ControlActor::start(
         "h1".into(),
--- a/crates/host/tests/host/incomplete_counts.rs
+++ b/crates/host/tests/host/incomplete_counts.rs
@@ -1,20 +1,18 @@
 //! Tests of counts by an owner that may not know all that hosts accepted.
 
 use std::collections::{BTreeSet, HashMap};
-use std::future::ready;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonnotch_fleet::model::{ApprovedConfig, RequestLimits, StartOutcome, StopOutcome};
-use lagoonnotch_fleet::owner::{OwnerSettings, QueryOutcome, RecoveredState};
+use lagoonnotch_fleet::model::{ApprovedConfig, RequestLimits};
+use lagoonnotch_fleet::owner::{OwnerSettings, RecoveredState};
 use lagoonnotch_host::clock::now_ms;
 use lagoonnotch_host::control::{
     ControlActor, ControlHandle, ControlInput, HostView, OwnershipGrant, WaitingCount,
 };
 use lagoonnotch_host::peer::PeerClients;
-use lagoonnotch_host::ports::{OperatorState, PlatformPorts, RenewOutcome, UpstreamPort, port};
 
-use crate::fake_store::FakeStore;
+use crate::fixtures::idle_ports;
 
 /// Maximum number of times that a test looks whether the owner has counted.
 const MAX_POLLS: u32 = 5000;
@@ -43,28 +41,6 @@
 /// Epoch of the ownership in the tests below.
 const EPOCH: u64 = 5;
 
-/// Returns ports without a store and without upstreams.
-fn idle_ports() -> PlatformPorts {
-    PlatformPorts {
-        store: FakeStore::default().port(),
-        upstream: UpstreamPort {
-            renew_leases: port(|_| ready(RenewOutcome::Failed)),
-            start: port(|_| ready(StartOutcome::Unhealthy)),
-            stop: port(|_| ready(StopOutcome::Accepted)),
-            query_policy: port(|_| ready(QueryOutcome::Failed)),
-        },
-        operator_prefix: "op/".into(),
-        directory_prefix: "servers/".into(),
-        parse_operator_items: Arc::new(|_| OperatorState {
-            config: None,
-            evacuated_domains: BTreeSet::new(),
-            findings: Vec::new(),
-        }),
-        parse_report: Arc::new(|_| Err("none".to_owned())),
-        parse_submission: Arc::new(|_| Err("none".to_owned())),
-    }
-}
-
 /// Makes a host the owner, with a state that was listed from the time `known_until` on, and waits for
 /// the first tick.
 async fn owner_recovered_from(known_until: u64, view: &HostView) -> ControlHandle {
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -8,6 +8,7 @@
 mod events;
 mod explain;
 mod fake_store;
+mod fixtures;
 mod incomplete_counts;
 mod notices;
 mod owners;
