List submissions at once when a watch skips a reported one

What callers could see: counts refused for up to 8 s after a watch that heard nothing, and counts given although a watch had skipped a submission that a host had reported, if it returned a later one. Cause: the position of the watch was judged by the highest revision in a response, and listings did not move it on, so that on a quiet store the changes after it were dropped and each watch ended in a full listing. Change: a response that has later changes than the reported submission but not that one, or none at all, is a gap: the owner lists. One that ends before it is continued. Listings move the position on. Evidence: found by review, by reading.

--- a/crates/host/src/ownership/accepted_cursor.rs
+++ b/crates/host/src/ownership/accepted_cursor.rs
@@ -2,6 +2,17 @@
 
 use crate::ports::WatchResponse;
 
+/// Which changes a watch's response has, as far as reports of other hosts tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WatchCoverage {
+    /// All of which hosts had reported when the watch was sent.
+    Complete,
+    /// It ends before the last reported one; the next watch continues from there.
+    Behind,
+    /// It skips a reported one, and may skip others, so that all must be listed.
+    Gap,
+}
+
 /// The owner's position in the changes of stored submissions and cancellations.
 ///
 /// A watch may hear nothing while changes are made. The position therefore follows only changes that
@@ -37,14 +48,33 @@
         self.known_until
     }
 
+    /// Applies a complete listing. What it lacks was stored later than its begin and its revision.
+    pub fn apply_listing(&mut self, listed: Self) {
+        self.revision = self.revision.max(listed.revision);
+        self.known_until = self.known_until.max(listed.known_until);
+    }
+
     /// Applies the response to a watch that was sent at `sent_at`, when hosts had already reported
-    /// a submission of `reported_revision` to the owner. A response that lacks that submission may
-    /// lack others too, so it does not show what is known.
-    pub fn apply_watch(&mut self, sent_at: u64, response: &WatchResponse, reported_revision: u64) {
-        let revisions = response.items.iter().map(|item| item.revision);
-        self.revision = revisions.fold(self.revision, u64::max);
-        if reported_revision <= self.revision {
-            self.known_until = self.known_until.max(sent_at);
+    /// a submission of `reported_revision` to the owner.
+    #[must_use]
+    pub fn apply_watch(
+        &mut self,
+        sent_at: u64,
+        response: &WatchResponse,
+        reported_revision: u64,
+    ) -> WatchCoverage {
+        let mut revisions = response.items.iter().map(|item| item.revision);
+        let last_revision = revisions.clone().max().unwrap_or(0);
+        let lacks_reported = reported_revision > self.revision
+            && !revisions.any(|revision| revision == reported_revision);
+        if lacks_reported && (last_revision == 0 || last_revision > reported_revision) {
+            return WatchCoverage::Gap;
+        }
+        self.revision = self.revision.max(last_revision);
+        if lacks_reported {
+            return WatchCoverage::Behind;
         }
+        self.known_until = self.known_until.max(sent_at);
+        WatchCoverage::Complete
     }
 }
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -6,6 +6,6 @@
 mod owner_watch;
 mod ownership_claimer;
 
-pub use accepted_cursor::AcceptedCursor;
+pub use accepted_cursor::{AcceptedCursor, WatchCoverage};
 pub use claim_policy::{ClaimEvidence, claim_reason};
 pub use ownership_claimer::{OwnershipClaimer, OwnershipContext, is_much_smaller};
--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -2,6 +2,7 @@
 //! cancellations that hosts accepted.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use lagoonnotch_fleet::model::DirectoryRead;
@@ -11,7 +12,7 @@
 use crate::clock::{now_ms, unix_ms};
 use crate::control::ControlInput;
 use crate::event::FleetEvent;
-use crate::ownership::{AcceptedCursor, OwnershipContext};
+use crate::ownership::{AcceptedCursor, OwnershipContext, WatchCoverage};
 use crate::ports::{ListRequest, StoreError, StoreItem, WatchRequest};
 use crate::store::{
     CANCEL_PREFIX, ENDED_PREFIX, EndedRecord, SUBMISSION_PREFIX, TAKEN_PREFIX, list_all,
@@ -25,7 +26,7 @@
 const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Maximum time that a watch for new submissions waits, in milliseconds. The owner's counts are given
-/// only if a watch shows what it knows at least every 3 s.
+/// only if a watch or a listing shows what it knows at least every 3 s.
 const WATCH_TIMEOUT_MS: u64 = 800;
 
 /// Time between watches for new submissions; hosts also notify the owner directly.
@@ -114,9 +115,10 @@
     /// Watches for new submissions and cancellations, and lists them periodically, until the task is
     /// dropped. A listing may take seconds and does not delay the watches.
     pub(super) async fn poll_accepted(self, epoch: u64, cursor: AcceptedCursor) {
+        let cursor = Mutex::new(cursor);
         tokio::join!(
-            self.watch_accepted(epoch, cursor),
-            self.relist_accepted(epoch)
+            self.watch_accepted(epoch, &cursor),
+            self.relist_accepted(epoch, &cursor)
         );
     }
 
@@ -124,12 +126,12 @@
     ///
     /// The first watch is sent at once: after a long recovery much may have been accepted that the
     /// recovered state lacks.
-    async fn watch_accepted(&self, epoch: u64, mut cursor: AcceptedCursor) {
+    async fn watch_accepted(&self, epoch: u64, cursor: &Mutex<AcceptedCursor>) {
         loop {
-            if !self.watch_once(&mut cursor).await
+            if !self.watch_once(cursor).await
                 && let Some(listed) = self.list_accepted().await
             {
-                cursor = listed;
+                lock(cursor).apply_listing(listed);
             }
             self.report_known(epoch, cursor).await;
             sleep(WATCH_INTERVAL).await;
@@ -137,7 +139,7 @@
     }
 
     /// Lists all submissions and cancellations periodically until the task is dropped.
-    async fn relist_accepted(&self, epoch: u64) {
+    async fn relist_accepted(&self, epoch: u64, cursor: &Mutex<AcceptedCursor>) {
         let mut relist_ms = RELIST_INTERVAL_MS;
         loop {
             sleep(Duration::from_millis(relist_ms)).await;
@@ -148,32 +150,33 @@
             };
             let took_ms = now_ms().saturating_sub(began_at);
             relist_ms = RELIST_INTERVAL_MS.max(took_ms * RELIST_INTERVAL_FACTOR);
-            self.report_known(epoch, listed).await;
+            lock(cursor).apply_listing(listed);
+            self.report_known(epoch, cursor).await;
         }
     }
 
     /// Reports to the control actor what has been sent to it.
-    async fn report_known(&self, epoch: u64, cursor: AcceptedCursor) {
-        let until = cursor.known_until();
+    async fn report_known(&self, epoch: u64, cursor: &Mutex<AcceptedCursor>) {
+        let until = lock(cursor).known_until();
         let input = ControlInput::AcceptedKnown { epoch, until };
         self.control.send(input).await;
     }
 
-    /// Watches once; returns false if the store no longer has the changes, so that they must be
-    /// listed.
-    async fn watch_once(&self, cursor: &mut AcceptedCursor) -> bool {
+    /// Watches once; returns false if changes were skipped or are no longer available, so that they
+    /// must be listed.
+    async fn watch_once(&self, cursor: &Mutex<AcceptedCursor>) -> bool {
         let reported_revision = self.view.reported_revision();
         let request = WatchRequest {
             prefix: TAKEN_PREFIX.to_owned(),
-            after: cursor.revision(),
+            after: lock(cursor).revision(),
             wait_ms: WATCH_TIMEOUT_MS,
         };
         let sent_at = now_ms();
         match (self.ports.store.watch)(request).await {
             Ok(response) => {
                 self.forward_accepted(&response.items).await;
-                cursor.apply_watch(sent_at, &response, reported_revision);
-                true
+                let coverage = lock(cursor).apply_watch(sent_at, &response, reported_revision);
+                coverage != WatchCoverage::Gap
             }
             Err(StoreError::Compacted) => false,
             Err(_) => true,
@@ -264,6 +267,10 @@
     }
 }
 
+fn lock(cursor: &Mutex<AcceptedCursor>) -> MutexGuard<'_, AcceptedCursor> {
+    cursor.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns whether the final state of a submission has expired; an unreadable one counts as
 /// expired.
 fn is_expired(item: &StoreItem, now_unix_ms: u64) -> bool {
