Log what steps wait for before they get tickets

Cause of the gap: event 1050 did not say which queue a query is for, and no event told waiting for a host from waiting for an answer or for room. Change: event 1050 gives the queue, the waiting tasks and the known upstreams; event 1052 gives the load each second. Evidence: fields only; no decision changes.

--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -72,8 +72,14 @@
     pub host: Arc<str>,
     /// Name of the step.
     pub step: String,
+    /// Queue of the step.
+    pub queue: Arc<str>,
+    /// Number of the step's tasks that wait.
+    pub waiting: usize,
     /// Upstreams that the query names.
     pub upstreams: Vec<Arc<str>>,
+    /// Number of these that are known to be allowed.
+    pub known_allowed: usize,
     /// Timeout of the query, in milliseconds.
     pub timeout_ms: u64,
 }
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -7,6 +7,7 @@
 //! milliseconds on the owner's boot-time clock. `unix_ms` is wall-clock time in milliseconds since
 //! 1970.
 
+mod advice_load;
 mod commit_queue;
 mod crash_suspects;
 mod due_queue;
@@ -35,6 +36,7 @@
 mod tick;
 mod upstream_entry;
 
+pub use advice_load::{AdviceLoad, QueryHostCounts, TicketWaits};
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
 pub use effect::{
     CrashReport, OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder, UnlistedReport,
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -11,7 +11,7 @@
 use crate::owner::placement::PlacementRequest;
 use crate::owner::query_dispatcher::{PolicyQuery, QueryOutcome};
 use crate::owner::ready_list::ReadyStep;
-use crate::owner::submission_entry::{StepEntry, TicketEntry};
+use crate::owner::submission_entry::{StepEntry, TaskEntry, TaskPhase, TicketEntry};
 use crate::owner::{OwnerEffect, OwnerMachine, QueryOrder};
 
 /// Part of a ticket's validity that is reserved for delivery of the start order, in milliseconds.
@@ -133,6 +133,16 @@
         let Some((query_id, host)) = self.queries.assign(now, query, service.is_long()) else {
             return false;
         };
+        let (mut waiting, mut known_allowed) = (0, 0);
+        if let Some(step) = self.step_of(ready) {
+            let is_waiting = |task: &&TaskEntry| task.phase == TaskPhase::Waiting;
+            let is_known = |id: &&Arc<str>| {
+                let entry = self.upstreams.get(*id);
+                entry.is_some_and(|entry| step.tickets.contains_key(&entry.index))
+            };
+            waiting = step.tasks.iter().filter(is_waiting).count();
+            known_allowed = upstreams.iter().filter(is_known).count();
+        }
         if let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step) {
             step.pending_queries.insert(query_id);
         }
@@ -140,7 +150,10 @@
             query_id,
             host,
             step: format!("{}.{}.{}", ready.submission, ready.occurrence, ready.step),
+            queue: ready.queue.name.clone(),
+            waiting,
             upstreams,
+            known_allowed,
             timeout_ms: duration_ms + QUERY_TIMEOUT_SLACK_MS,
         }));
         true
--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -6,6 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::owner::advice_load::QueryHostCounts;
+
 /// Assumed share of upstreams that the policy service allows, before the first decision.
 const INITIAL_ALLOWED_SHARE: f64 = 0.3;
 
@@ -89,6 +91,17 @@
         }
     }
 
+    /// Returns the numbers of hosts by the state of their queries.
+    pub fn host_counts(&self, now: u64) -> QueryHostCounts {
+        let is_paused = |load: &&HostLoad| !load.busy && load.paused_until > now;
+        QueryHostCounts {
+            hosts: self.hosts.len(),
+            long_pending: self.long_pending,
+            short_pending: self.pending.len() - self.long_pending,
+            paused: self.hosts.values().filter(is_paused).count(),
+        }
+    }
+
     /// Returns whether a host is free for a query.
     pub fn has_free_host(&self, now: u64, long: bool) -> bool {
         self.free_host(now, long).is_some()
--- a/crates/fleet/src/owner/ready_list.rs
+++ b/crates/fleet/src/owner/ready_list.rs
@@ -111,6 +111,11 @@
         self.fresh.remove(submission);
     }
 
+    /// Returns the steps with tasks that may start, as of the last pass.
+    pub fn known_steps(&self) -> impl Iterator<Item = &ReadyStep> {
+        self.steps.values().flatten().map(Arc::as_ref)
+    }
+
     /// Returns the due time of the next occurrence, in milliseconds since 1970.
     pub fn next_due_unix_ms(&self) -> Option<u64> {
         self.upcoming.first().map(|(due, _)| *due)
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -14,7 +14,9 @@
     CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, OwnershipGrant,
     PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage, TimedInput,
 };
-use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
+use crate::control::effect_runner::{
+    EffectRunner, log_advice_load, log_final_states, log_finished_runs,
+};
 use crate::control::{ControlHandle, HostView, WaitingCounts};
 use crate::event::FleetEvent;
 use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
@@ -34,6 +36,9 @@
 /// Time between two counts of the waiting submissions, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 250;
 
+/// Time between two reports of the load of policy queries, in milliseconds.
+const ADVICE_REPORT_INTERVAL_MS: u64 = 1000;
+
 /// State of this host's ownership.
 struct ActiveOwnership {
     machine: OwnerMachine,
@@ -43,6 +48,8 @@
     suspended: bool,
     /// When the waiting submissions were last counted; 0 before the first count.
     counted_at: u64,
+    /// When the load of policy queries was last reported; 0 before the first report.
+    advice_reported_at: u64,
 }
 
 /// A host that has sent a heartbeat to this one while it accepted policy queries.
@@ -172,6 +179,10 @@
                 counted_at: requested_at,
             });
         }
+        if now >= ownership.advice_reported_at + ADVICE_REPORT_INTERVAL_MS {
+            ownership.advice_reported_at = now;
+            log_advice_load(&ownership.machine.advice_load(now));
+        }
         for effect in ownership.machine.take_effects() {
             self.runner.run(epoch, effect, &self.peers, valid_until);
         }
@@ -240,6 +251,7 @@
             valid_until: grant.valid_until,
             suspended: false,
             counted_at: 0,
+            advice_reported_at: 0,
         });
     }
 
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -5,8 +5,8 @@
 
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, CrashReport, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome,
-    RenewOrder, StartOrder, StopOrder, UnlistedReport,
+    AdviceLoad, CommitBatch, CommitOutcome, CrashReport, OwnerEffect, PolicyDecision, QueryOrder,
+    QueryOutcome, RenewOrder, StartOrder, StopOrder, UnlistedReport,
 };
 use serde_json::json;
 
@@ -189,8 +189,11 @@
         };
         let fields = json!({
             "step": order.step,
+            "queue": order.queue,
+            "waiting": order.waiting,
             "asked_by": order.host,
             "upstreams": order.upstreams.len(),
+            "known_allowed": order.known_allowed,
             "took_ms": now_ms().saturating_sub(sent_at),
             "allowed": match &outcome {
                 QueryOutcome::Answered(answer) => Some(answer.allowed.len()),
@@ -294,6 +297,36 @@
     }
 }
 
+/// Logs the load of the queries to the policy service, unless no step waits and no query is in
+/// flight.
+pub(super) fn log_advice_load(load: &AdviceLoad) {
+    let hosts = load.hosts;
+    if load.queues.is_empty() && hosts.long_pending + hosts.short_pending == 0 {
+        return;
+    }
+    let queues: BTreeMap<_, _> = load
+        .queues
+        .iter()
+        .map(|(queue, waits)| {
+            let fields = json!({
+                "tasks": waits.tasks,
+                "querying": waits.querying,
+                "ticketed": waits.ticketed,
+                "delayed": waits.delayed,
+                "unasked": waits.unasked,
+            });
+            (queue, fields)
+        })
+        .collect();
+    FleetEvent::AdviceLoad.emit(json!({
+        "hosts": hosts.hosts,
+        "long_pending": hosts.long_pending,
+        "short_pending": hosts.short_pending,
+        "paused": hosts.paused,
+        "queues": queues,
+    }));
+}
+
 fn report_unlisted(report: &UnlistedReport) {
     FleetEvent::DrainingUpstreamUnlisted.emit(json!({
         "upstream": report.upstream,
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -106,6 +106,9 @@
     AdviceTaken = 1050, Info;
     /// The policy service returned no usable decision.
     AdviceFailed = 1051, Warn;
+    /// How many hosts query the policy service, and what the steps that need tickets wait for;
+    /// written by the owner.
+    AdviceLoad = 1052, Info;
     /// An upstream was ordered to start a task.
     TaskOrdered = 1060, Info;
     /// A start order was rejected, not sent or not answered.
