--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -1,11 +1,25 @@
 //! Distribution of policy service queries over the hosts.
 //!
 //! The service handles one call at a time from each calling host, so each host has at most one
-//! query in flight. Long queries leave some hosts free for short ones.
+//! query in flight. Long queries leave some hosts free for short ones. Queues share the hosts that
+//! remain for long queries: the scheduling order decides between the steps of one queue, but a queue
+//! with many steps, or with steps that query often, leaves hosts to the others that wait.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
+use crate::owner::advice_load::QueryHostCounts;
+
+/// Time for which a queue counts as waiting after a step of it found no free host, in milliseconds.
+/// It covers several placement passes of a large fleet.
+const REFUSAL_VALIDITY_MS: u64 = 250;
+
+/// Time for which hosts stay free for as many short queries as were in flight, in milliseconds.
+const SHORT_LOAD_MEMORY_MS: u64 = 3000;
+
+/// Hosts that stay free for short queries, as a multiple of the recent number in flight.
+const SHORT_RESERVE_FACTOR: usize = 2;
+
 /// Assumed share of upstreams that the policy service allows, before the first decision.
 const INITIAL_ALLOWED_SHARE: f64 = 0.3;
 
@@ -46,7 +60,34 @@
 struct PendingQuery {
     query: PolicyQuery,
     host: Arc<str>,
-    long: bool,
+    /// Queue of a long query.
+    long_queue: Option<Arc<str>>,
+}
+
+/// Long queries of a queue.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueLoad {
+    /// Number of long queries in flight.
+    pending: usize,
+    /// Number of the queue's last query.
+    last_query: u64,
+    /// When a step last found no free host; `None` if the queue has no such step.
+    refused_at: Option<u64>,
+    /// When a gang that has claimed room last found no free host to renew its tickets; `None` if
+    /// none waits.
+    renewal_refused_at: Option<u64>,
+}
+
+impl QueueLoad {
+    /// Returns the rank among the waiting queues; the lowest gets the next host.
+    fn rank(&self) -> (usize, u64) {
+        (self.pending, self.last_query)
+    }
+
+    fn is_waiting(&self, now: u64) -> bool {
+        self.refused_at
+            .is_some_and(|at| now < at + REFUSAL_VALIDITY_MS)
+    }
 }
 
 /// Query state of a host.
@@ -68,8 +109,13 @@
     hosts: BTreeMap<Arc<str>, HostLoad>,
     /// Free hosts by the number of their last query; the one that has been idle longest is first.
     free_hosts: BTreeSet<(u64, Arc<str>)>,
-    /// Number of long queries in flight.
+    /// Number of long queries in flight; equals the sum over all queues.
     long_pending: usize,
+    /// Highest numbers of short queries in flight, with the time of each; the times increase and the
+    /// numbers decrease.
+    short_peaks: VecDeque<(u64, usize)>,
+    /// Long queries by queue.
+    queues: BTreeMap<Arc<str>, QueueLoad>,
     /// Smoothed share of upstreams that the policy service allows, by queue.
     allowed_shares: HashMap<Arc<str>, f64>,
 }
@@ -89,14 +135,27 @@
         }
     }
 
-    /// Returns whether a host is free for a query.
-    pub fn has_free_host(&self, now: u64, long: bool) -> bool {
-        self.free_host(now, long).is_some()
+    /// Returns the numbers of hosts by the state of their queries.
+    pub fn host_counts(&self, now: u64) -> QueryHostCounts {
+        let is_paused = |load: &&HostLoad| !load.busy && load.paused_until > now;
+        QueryHostCounts {
+            hosts: self.hosts.len(),
+            long_pending: self.long_pending,
+            short_pending: self.pending.len() - self.long_pending,
+            paused: self.hosts.values().filter(is_paused).count(),
+        }
     }
 
-    fn free_host(&self, now: u64, long: bool) -> Option<&(u64, Arc<str>)> {
-        // At most two thirds of the hosts, but at least one, may have long queries in flight.
-        if long && self.long_pending >= (self.hosts.len() * 2 / 3).max(1) {
+    /// Returns whether a host is free for a query of a queue.
+    pub fn has_free_host(&self, now: u64, queue: &str, long: bool) -> bool {
+        self.free_host(now, queue, long).is_some()
+    }
+
+    fn free_host(&self, now: u64, queue: &str, long: bool) -> Option<&(u64, Arc<str>)> {
+        if long && self.long_pending >= self.max_long_pending(now) {
+            return None;
+        }
+        if long && self.yields(now, queue) {
             return None;
         }
         let is_paused = |host: &Arc<str>| {
@@ -106,9 +165,97 @@
         self.free_hosts.iter().find(|(_, host)| !is_paused(host))
     }
 
-    /// Assigns a query to a free host; returns the query's number and the host.
-    pub fn assign(&mut self, now: u64, query: PolicyQuery, long: bool) -> Option<(u64, Arc<str>)> {
-        let free = self.free_host(now, long)?.clone();
+    /// Returns how many hosts may have long queries in flight: at least one, and all but those that
+    /// short queries need. As long as short queries are rare, these are few; at most they are a third
+    /// of the hosts.
+    fn max_long_pending(&self, now: u64) -> usize {
+        let is_recent = |(at, _): &&(u64, usize)| now < at + SHORT_LOAD_MEMORY_MS;
+        let short_peak = self.short_peaks.iter().find(is_recent);
+        let short_peak = short_peak.map_or(0, |(_, pending)| *pending);
+        let hosts = self.hosts.len();
+        let reserve = (short_peak * SHORT_RESERVE_FACTOR).clamp(1, (hosts - hosts * 2 / 3).max(1));
+        hosts.saturating_sub(reserve).max(1)
+    }
+
+    /// Records the number of short queries in flight.
+    fn note_short_load(&mut self, now: u64) {
+        let pending = self.pending.len() - self.long_pending;
+        while let Some((at, _)) = self.short_peaks.front() {
+            if now < at + SHORT_LOAD_MEMORY_MS {
+                break;
+            }
+            self.short_peaks.pop_front();
+        }
+        while let Some((_, lower)) = self.short_peaks.back() {
+            if *lower > pending {
+                break;
+            }
+            self.short_peaks.pop_back();
+        }
+        self.short_peaks.push_back((now, pending));
+    }
+
+    /// Returns whether another queue that waits has fewer long queries in flight.
+    fn yields(&self, now: u64, queue: &str) -> bool {
+        let own_rank = self.queues.get(queue).map_or((0, 0), QueueLoad::rank);
+        self.queues.iter().any(|(other, load)| {
+            **other != *queue && load.is_waiting(now) && load.rank() < own_rank
+        })
+    }
+
+    /// Records that a step of a queue could send a long query, but found no free host; until it finds
+    /// one, queues with more long queries in flight get none.
+    pub fn note_refusal(&mut self, now: u64, queue: &Arc<str>) {
+        self.load_of(queue).refused_at = Some(now);
+    }
+
+    /// Records that a gang of a queue found no free host to renew the tickets of the room that it has
+    /// claimed; until one does, other gangs of the queue get none.
+    pub fn note_refused_renewal(&mut self, now: u64, queue: &Arc<str>) {
+        self.load_of(queue).renewal_refused_at = Some(now);
+    }
+
+    /// Records that a gang of a queue renews the tickets of the room that it has claimed.
+    pub fn withdraw_refused_renewal(&mut self, queue: &str) {
+        if let Some(load) = self.queues.get_mut(queue) {
+            load.renewal_refused_at = None;
+        }
+    }
+
+    /// Returns whether a gang of a queue has claimed room and waits for a host to renew its tickets.
+    pub fn renewal_waits(&self, now: u64, queue: &str) -> bool {
+        let refused_at = self
+            .queues
+            .get(queue)
+            .and_then(|load| load.renewal_refused_at);
+        refused_at.is_some_and(|at| now < at + REFUSAL_VALIDITY_MS)
+    }
+
+    fn load_of(&mut self, queue: &Arc<str>) -> &mut QueueLoad {
+        self.queues.entry(queue.clone()).or_default()
+    }
+
+    /// Records that a step of a queue found a free host, whether it has something to query or not.
+    pub fn withdraw_refusal(&mut self, queue: &str) {
+        if let Some(load) = self.queues.get_mut(queue) {
+            load.refused_at = None;
+        }
+    }
+
+    /// Assigns a query of a queue to a free host; returns the query's number and the host.
+    pub fn assign(
+        &mut self,
+        now: u64,
+        query: PolicyQuery,
+        queue: &Arc<str>,
+        long: bool,
+    ) -> Option<(u64, Arc<str>)> {
+        let Some(free) = self.free_host(now, queue, long).cloned() else {
+            if long {
+                self.note_refusal(now, queue);
+            }
+            return None;
+        };
         self.free_hosts.remove(&free);
         let (_, host) = free;
         self.last_query += 1;
@@ -117,20 +264,34 @@
             load.busy = true;
             load.last_query = query_id;
         }
+        if long {
+            let load = self.queues.entry(queue.clone()).or_default();
+            load.pending += 1;
+            load.last_query = query_id;
+            load.refused_at = None;
+            self.long_pending += 1;
+        }
         let pending = PendingQuery {
             query,
             host: host.clone(),
-            long,
+            long_queue: long.then(|| queue.clone()),
         };
-        self.long_pending += usize::from(long);
         self.pending.insert(query_id, pending);
+        if !long {
+            self.note_short_load(now);
+        }
         Some((query_id, host))
     }
 
     /// Completes a query; `pause_until` delays the host's next one.
     pub fn finish(&mut self, query_id: u64, pause_until: Option<u64>) -> Option<PolicyQuery> {
         let pending = self.pending.remove(&query_id)?;
-        self.long_pending -= usize::from(pending.long);
+        if let Some(queue) = &pending.long_queue {
+            self.long_pending -= 1;
+            if let Some(load) = self.queues.get_mut(queue) {
+                load.pending -= 1;
+            }
+        }
         if let Some(load) = self.hosts.get_mut(&pending.host) {
             load.busy = false;
             load.paused_until = pause_until.unwrap_or(load.paused_until);
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -14,7 +14,9 @@
     CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, OwnershipGrant,
     PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage, TimedInput,
 };
-use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
+use crate::control::effect_runner::{
+    EffectRunner, log_advice_load, log_final_states, log_finished_runs,
+};
 use crate::control::{ControlHandle, HostView, WaitingCounts};
 use crate::event::FleetEvent;
 use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
@@ -38,6 +40,9 @@
 /// milliseconds: the time in which the platform expects an accepted submission to be visible.
 const MAX_UNKNOWN_MS: u64 = 3000;
 
+/// Time between two reports of the load of policy queries, in milliseconds.
+const ADVICE_REPORT_INTERVAL_MS: u64 = 1000;
+
 /// State of this host's ownership.
 struct ActiveOwnership {
     machine: OwnerMachine,
@@ -47,6 +52,8 @@
     suspended: bool,
     /// When the waiting submissions were last counted; 0 before the first count.
     counted_at: u64,
+    /// When the load of policy queries was last reported; 0 before the first report.
+    advice_reported_at: u64,
     /// Every submission that was stored before this time is known, in milliseconds of the host's
     /// clock.
     known_until: u64,
@@ -202,6 +209,10 @@
                 known_until: Some(ownership.known_until),
             });
         }
+        if now >= ownership.advice_reported_at + ADVICE_REPORT_INTERVAL_MS {
+            ownership.advice_reported_at = now;
+            log_advice_load(&ownership.machine.advice_load(now));
+        }
         for effect in ownership.machine.take_effects() {
             self.runner.run(epoch, effect, &self.peers, valid_until);
         }
@@ -272,6 +283,7 @@
             counted_at: 0,
             known_until: grant.known_until,
             counts_complete: true,
+            advice_reported_at: 0,
         });
     }
 
