Store how long the leases of silent upstreams last, not until when

What callers saw: tasks start a second time on another upstream while the first run goes on or after it has ended as done (TWICE), if the time of day of an owner's host jumps by seconds before another host takes over. Cause: the roster gave the expiry of a silent upstream's leases in wall-clock time of its writer, and the reader subtracted its own, with a margin of 1 s. Change: the roster keeps the remaining time. The reader counts it from when it first saw the store at or beyond the roster's revision, on its boot-time clock. Proof: the owner computes at time t that every lease has ended by t + d, and writes d after t. A response that shows the roster's revision or a later one arrives after that write, at s > t. So the leases have ended by s + d. Nothing else grants leases there while the roster says that the upstream is silent. A sighting that is dropped or missing only makes s later. The bound holds for the leases of the owner that wrote it and of those before; it is used by the next owner alone (generations follow one another), because an owner of an earlier version in between would grant leases beside it. Each owner writes its roster anew after a takeover. An old record without a bound means the whole wait, and a reader of the earlier version that does not know the new field waits the whole time too. Tests: wall_clock_jump_does_not_shorten_the_wait_for_leases was seen to fail before (two runs side by side). Not claimed: different rates of the hosts' boot-time clocks.

--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -15,9 +15,6 @@
     ContactState, DirectoryPresence, RunEntry, RunPhase, UpstreamEntry,
 };
 
-/// Assumed maximum difference between the wall clocks of two hosts, in milliseconds.
-const HOST_CLOCK_MARGIN_MS: u64 = 1000;
-
 /// An upstream that may hold leases.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RosterEntry {
@@ -32,12 +29,35 @@
     /// Start of the incarnation, in milliseconds since 1970.
     #[serde(rename = "born_unix_ms")]
     pub incarnation_unix_ms: u64,
-    /// Time by which its leases have expired, in milliseconds since 1970; set only while the
-    /// upstream is silent. No lease is granted there while this is set.
-    #[serde(default, rename = "lapses_unix_ms")]
+    /// Bound on its leases; set only while the upstream is silent. No lease is granted there while
+    /// this is set.
+    #[serde(default)]
+    pub lease_bound: Option<LeaseBound>,
+    /// Expiry of its leases by the wall clock of a host of an earlier version, which set it only
+    /// while the upstream was silent. The time itself is not used.
+    #[serde(default, rename = "lapses_unix_ms", skip_serializing)]
     pub leases_expire_unix_ms: Option<u64>,
 }
 
+impl RosterEntry {
+    /// Returns whether the entry records that the upstream is silent.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.lease_bound.is_some() || self.leases_expire_unix_ms.is_some()
+    }
+}
+
+/// Bound on the leases of a silent upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseBound {
+    /// Time within which the leases expire, in milliseconds from any time after the bound was
+    /// written.
+    pub remaining_ms: u64,
+    /// Number of owners before the one that wrote the bound. It does not bound the leases of later
+    /// owners, which may be of a version that does not know it.
+    pub generation: u32,
+}
+
 /// A submission as it is stored.
 #[derive(Clone, Debug)]
 pub struct StoredSubmission {
@@ -56,6 +76,8 @@
     pub submissions: Vec<StoredSubmission>,
     /// Upstreams that may hold leases of earlier owners.
     pub roster: Vec<RosterEntry>,
+    /// A time by which the roster had been written, in milliseconds on the new owner's clock.
+    pub roster_written_by: u64,
     /// Store revision up to which all submissions that had not ended are listed.
     pub revision: u64,
     /// Submissions that had ended before their cancellation was stored.
@@ -67,7 +89,7 @@
 
 impl OwnerMachine {
     /// Restores the state from the store.
-    pub fn recover(&mut self, now: u64, unix_ms: u64, recovered: RecoveredState) {
+    pub fn recover(&mut self, now: u64, recovered: RecoveredState) {
         self.took_over_at = now;
         // As in `grant_lease`, 1021 thousandths allow for a slow upstream clock; 300 ms are a
         // margin.
@@ -78,7 +100,7 @@
         self.recovered_revision = recovered.revision;
         self.stale_cancels.extend(recovered.stale_cancels);
         for roster_entry in recovered.roster {
-            self.restore_upstream(now, unix_ms, roster_entry);
+            self.restore_upstream(now, recovered.roster_written_by, roster_entry);
         }
         for stored in recovered.submissions {
             self.restore_submission(now, stored);
@@ -86,7 +108,7 @@
         self.request_placement();
     }
 
-    fn restore_upstream(&mut self, now: u64, unix_ms: u64, roster_entry: RosterEntry) {
+    fn restore_upstream(&mut self, now: u64, roster_written_by: u64, roster_entry: RosterEntry) {
         let id = roster_entry.id.clone();
         let index = self.next_index();
         let mut entry = UpstreamEntry::new(
@@ -108,10 +130,16 @@
         entry.runs_incarnation = Some(roster_entry.incarnation_unix_ms);
         entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.leases_expire_at = self.recovery_ends_at;
-        if let Some(leases_expire_unix_ms) = roster_entry.leases_expire_unix_ms {
-            let remaining = leases_expire_unix_ms.saturating_sub(unix_ms) + HOST_CLOCK_MARGIN_MS;
-            entry.leases_expire_at = entry.leases_expire_at.min(now + remaining);
+        if roster_entry.is_silent() {
+            let bound = roster_entry.lease_bound;
+            let bound = bound.filter(|bound| bound.generation + 1 == self.generation);
+            if let Some(bound) = bound {
+                let expire_at = roster_written_by + bound.remaining_ms;
+                entry.leases_expire_at = entry.leases_expire_at.min(expire_at);
+            }
             entry.contact = ContactState::RecordedSilent;
+            // The next owner can use only a bound that this one wrote.
+            self.roster_changed = true;
         }
         self.upstreams.insert(id.clone(), entry);
         self.view_cache.clear();
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -8,7 +8,7 @@
 };
 use crate::owner::upstream_entry::{ContactState, DirectoryPresence, RunPhase};
 use crate::owner::{
-    CommitBatch, CommitOutcome, EndedSubmission, OwnerEffect, OwnerMachine, RenewOrder,
+    CommitBatch, CommitOutcome, EndedSubmission, LeaseBound, OwnerEffect, OwnerMachine, RenewOrder,
     RosterEntry, StopOrder, StopReason,
 };
 
@@ -361,8 +361,11 @@
                 address: entry.report.address.clone(),
                 failure_domain: entry.report.failure_domain.clone(),
                 incarnation_unix_ms: entry.stored_incarnation(),
-                leases_expire_unix_ms: (entry.contact == ContactState::RecordedSilent)
-                    .then(|| self.unix_ms + entry.leases_expire_at.saturating_sub(now)),
+                lease_bound: (entry.contact == ContactState::RecordedSilent).then(|| LeaseBound {
+                    remaining_ms: entry.leases_expire_at.saturating_sub(now),
+                    generation: self.generation,
+                }),
+                leases_expire_unix_ms: None,
             })
             .collect()
     }
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod invariant_checks;
 mod inventory;
 mod large_fleet;
+mod lease_expiry;
 mod promises;
 mod quarantine;
 mod recovery;
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -550,6 +550,7 @@
         address: id.into(),
         failure_domain: "west".into(),
         incarnation_unix_ms: 1,
+        lease_bound: None,
         leases_expire_unix_ms: None,
     });
     let recovered = RecoveredState {
@@ -561,9 +562,10 @@
             cancelled: false,
         }],
         roster: roster.to_vec(),
+        roster_written_by: 1000,
         previous_owner_active_ms: 0,
     };
-    owner.recover(1000, 1000, recovered);
+    owner.recover(1000, recovered);
     owner
 }
 
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -108,9 +108,14 @@
     pub ended: BTreeSet<Arc<str>>,
     pub progress: HashMap<Arc<str>, ProgressRecord>,
     pub roster: Vec<RosterEntry>,
+    roster_written_at: u64,
+    /// Time after which other hosts notice that the roster was written, in milliseconds.
+    pub roster_sighting_delay_ms: u64,
+    /// Lead of the owner's wall clock over its steady clock, in milliseconds.
+    pub wall_clock_lead_ms: u64,
     pub epoch: u64,
     /// Number of owners so far.
-    generation: u32,
+    pub generation: u32,
     revision: u64,
     /// Messages in transit, by time of delivery and sequence number.
     in_transit: BTreeMap<(u64, u64), Message>,
@@ -168,6 +173,9 @@
             ended: BTreeSet::new(),
             progress: HashMap::new(),
             roster: Vec::new(),
+            roster_written_at: 0,
+            roster_sighting_delay_ms: 0,
+            wall_clock_lead_ms: 0,
             epoch: 0,
             generation: 0,
             revision: 1,
@@ -209,11 +217,11 @@
             })
             .collect();
         owner.recover(
-            self.now,
             self.now,
             RecoveredState {
                 submissions,
                 roster: self.roster.clone(),
+                roster_written_by: self.roster_written_at + self.roster_sighting_delay_ms,
                 revision: self.revision,
                 stale_cancels: Vec::new(),
                 previous_owner_active_ms: if self.previous.is_some() { 6000 } else { 0 },
@@ -345,7 +353,7 @@
 
     /// Ticks an owner and sends its effects.
     fn tick_and_send(&mut self, owner: &mut OwnerMachine) {
-        owner.tick(self.now, self.now, true);
+        owner.tick(self.now, self.now + self.wall_clock_lead_ms, true);
         let epoch = owner.epoch();
         for effect in owner.take_effects() {
             self.send(epoch, effect);
@@ -550,6 +558,7 @@
         }
         if let Some(roster) = &batch.roster {
             self.roster.clone_from(roster);
+            self.roster_written_at = self.now;
         }
         if self.random.chance(self.faults.lost_commits) {
             self.push(
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -231,7 +231,7 @@
             "submissions": grant.recovered.submissions.len(),
             "roster": grant.recovered.roster.len(),
         }));
-        machine.recover(now_ms(), unix_ms(), grant.recovered);
+        machine.recover(now_ms(), grant.recovered);
         self.query_hosts_set_at = 0;
         self.metrics.set_epoch(grant.epoch);
         self.view.set_owned_epoch(Some(grant.epoch));
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -10,6 +10,7 @@
 use crate::clock::now_ms;
 use crate::event::FleetEvent;
 use crate::peer::{ConfigFingerprint, HeartbeatReply, PeerInfo};
+use crate::store::RevisionLog;
 
 /// Time without a response after which the store is considered lost, in milliseconds.
 const STORE_LOST_MS: u64 = 1800;
@@ -88,9 +89,17 @@
     state: Arc<Mutex<ViewState>>,
     /// Wakes the configuration reader.
     config_read_notify: Arc<Notify>,
+    /// Sightings of the store's revision.
+    revision_log: RevisionLog,
 }
 
 impl HostView {
+    /// Returns this host's sightings of the store's revision.
+    #[must_use]
+    pub fn revision_log(&self) -> &RevisionLog {
+        &self.revision_log
+    }
+
     /// Applies a read of the operator's items that began at `read_at`; returns true if it changed
     /// anything.
     #[must_use]
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -24,7 +24,7 @@
 use crate::peer::{PeerClients, PeerServer};
 use crate::ports::PlatformPorts;
 use crate::settings::FleetSettings;
-use crate::store::hedged_store;
+use crate::store::{hedged_store, logged_store};
 
 /// Limits of the caller server until the first configuration takes effect, and of the readiness and
 /// metrics servers.
@@ -75,6 +75,10 @@
         let readiness = bind(&settings.readiness_address).await?;
         let peers = bind(&settings.peer_address()).await?;
         let view = HostView::default();
+        let ports = PlatformPorts {
+            store: logged_store(&ports.store, view.revision_log()),
+            ..ports
+        };
         let metrics = Arc::new(FleetMetrics::default());
         let clients = PeerClients::default();
         let context = hedge_context(&settings.peer_address(), &view, &clients);
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -370,7 +370,7 @@
         let valid_until = requested_at + lease.ttl_ms.saturating_sub(LEASE_MARGIN_MS);
         let renewal = tokio::spawn(self.clone().renew(epoch, lease));
         let (mut recovered, revision) = loop {
-            match read_recovery_state(&self.ports.store).await {
+            match read_recovery_state(&self.ports.store, self.view.revision_log()).await {
                 Ok(recovered) => break recovered,
                 Err(_) if renewal.is_finished() => return,
                 Err(_) => sleep(RECOVERY_RETRY_DELAY).await,
--- a/crates/host/src/store/mod.rs
+++ b/crates/host/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod key_layout;
 mod latency_estimator;
 mod recovery_reader;
+mod revision_log;
 mod submission_store;
 
 pub use commit_writer::CommitWriter;
@@ -15,6 +16,7 @@
 };
 pub use latency_estimator::LatencyEstimator;
 pub use recovery_reader::{list_all, parse_submission, read_recovery_state};
+pub use revision_log::{RevisionLog, logged_store};
 pub use submission_store::{StoreOutcome, SubmissionStore};
 
 pub(crate) use key_layout::{CANCEL_PREFIX, ENDED_PREFIX, SUBMISSION_PREFIX, TAKEN_PREFIX};
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -8,9 +8,10 @@
 use lagoonnotch_fleet::owner::{RecoveredState, RosterEntry, StoredSubmission};
 use serde::de::DeserializeOwned;
 
+use crate::clock::now_ms;
 use crate::ports::{ListRequest, StoreError, StoreItem, StorePort};
-use crate::store::ROSTER_KEY;
 use crate::store::key_layout::{CANCEL_PREFIX, PROGRESS_PREFIX, SUBMISSION_PREFIX};
+use crate::store::{ROSTER_KEY, RevisionLog};
 
 /// Lists all items with a prefix, and returns them with the store's revision at the first page.
 ///
@@ -45,10 +46,13 @@
 /// # Errors
 ///
 /// Returns the first error of a request to the store.
-pub async fn read_recovery_state(store: &StorePort) -> Result<(RecoveredState, u64), StoreError> {
+pub async fn read_recovery_state(
+    store: &StorePort,
+    log: &RevisionLog,
+) -> Result<(RecoveredState, u64), StoreError> {
     // Cancellations are listed before submissions, so a cancellation without a listed submission
     // belongs to one that has ended.
-    let ((cancels, revision), (progress, _), roster) = try_join!(
+    let ((cancels, revision), (progress, _), (roster, roster_revision)) = try_join!(
         list_all(store, CANCEL_PREFIX),
         list_all(store, PROGRESS_PREFIX),
         read_roster(store),
@@ -82,6 +86,7 @@
     let recovered = RecoveredState {
         submissions,
         roster,
+        roster_written_by: log.written_by(roster_revision).unwrap_or_else(now_ms),
         revision: submissions_revision,
         stale_cancels,
         previous_owner_active_ms: 0,
@@ -89,10 +94,11 @@
     Ok((recovered, revision))
 }
 
-async fn read_roster(store: &StorePort) -> Result<Vec<RosterEntry>, StoreError> {
+/// Reads the roster and its revision.
+async fn read_roster(store: &StorePort) -> Result<(Vec<RosterEntry>, u64), StoreError> {
     match (store.read)(ROSTER_KEY.to_owned()).await {
-        Ok(item) => Ok(parse(&item).unwrap_or_default()),
-        Err(StoreError::NotFound) => Ok(Vec::new()),
+        Ok(item) => Ok((parse(&item).unwrap_or_default(), item.revision)),
+        Err(StoreError::NotFound) => Ok((Vec::new(), 0)),
         Err(error) => Err(error),
     }
 }
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod owners;
 mod relay;
+mod revisions;
 mod settings;
 mod submissions;
 mod waiting_counts;
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -181,8 +181,7 @@
     /// Runs the simulation to its end and returns the results.
     #[must_use]
     pub fn run(mut self) -> SimulationSummary {
-        self.owner
-            .recover(self.now, self.now, RecoveredState::default());
+        self.owner.recover(self.now, RecoveredState::default());
         self.owner.set_query_hosts(&self.hosts());
         self.push(0, Event::ReadDirectory);
         self.push(2 * DIRECTORY_POLL_MS, Event::SampleUtilization);
@@ -675,6 +674,7 @@
         let recovered = RecoveredState {
             submissions,
             roster: self.roster.clone(),
+            roster_written_by: self.now,
             revision: self.revision,
             stale_cancels: Vec::new(),
             previous_owner_active_ms: 0,
@@ -686,7 +686,7 @@
             self.generation,
             self.config.clone(),
         );
-        owner.recover(self.now, self.now, recovered);
+        owner.recover(self.now, recovered);
         owner.set_query_hosts(&self.hosts());
         self.cost.total += started.elapsed();
         self.owner = owner;
