Store how long a replaced owner may act, not until when

What callers could see: a third owner takes over within 6 s of the second one and, if its wall clock is ahead of the second one's, starts tasks while the first may still act. Change: the totals keep a duration from the claim; the reader counts it from when it first saw the store at or beyond the claim's revision. A predecessor that did not confirm its step-down counts from when the claim was known to be stored, because it can renew its lease until then; so far it counted from before the write. The old field stays, for hosts of the earlier version, which cannot read totals without it, with 5 s added; old totals without the new field mean 6 s. Evidence: unit tests (owners.rs); wall_clock_does_not_change_how_long_a_replaced_owner_acts and totals_of_an_earlier_version_mean_the_longest_wait do not build on the code before, whose after_claim took the wall-clock time. Arguments and the figures of totals_cover_every_replaced_owner follow the new form: the wait of 26 - 21 s is now 5000 ms.

--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -22,12 +22,10 @@
 use crate::peer::PeerClients;
 use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteOutcome, WriteRequest};
 use crate::store::{
-    OWNER_KEY, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, commit_key, read_recovery_state,
+    OWNER_KEY, OWNER_LEASE_MS, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, commit_key,
+    read_recovery_state,
 };
 
-/// Lease of the owner's record in the store, in milliseconds.
-pub(super) const OWNER_LEASE_MS: u64 = 6000;
-
 /// Time between renewals of the ownership.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -276,10 +274,12 @@
             .record
             .as_ref()
             .filter(|previous_record| previous_record.host != self.host);
+        let written_by = self.view.revision_log().written_by(totals_revision);
+        let totals_written_by = written_by.unwrap_or(requested_at);
         let new_totals = totals.after_claim(
             previous_host_record.is_some(),
+            now_ms().saturating_sub(totals_written_by),
             unix_ms(),
-            OWNER_LEASE_MS,
             self.processor_milli,
         );
         let (Ok(value), Ok(new_totals_value)) =
@@ -309,6 +309,8 @@
             let _ = (self.ports.store.revoke)(lease.lease_id).await;
             return;
         };
+        // The predecessor can have renewed its lease until the claim was stored.
+        let claimed_by = now_ms();
         let predecessor_stopped = match previous_host_record {
             Some(previous_record) => {
                 let reply = self
@@ -321,14 +323,13 @@
         };
         // If the predecessor did not confirm that it stepped down, it may act until its lease
         // expires, as the new totals say.
-        let effective_totals = if predecessor_stopped {
-            totals
+        let (effective_totals, written_by) = if predecessor_stopped {
+            (totals, totals_written_by)
         } else {
-            new_totals
+            (new_totals, claimed_by)
         };
-        let previous_owner_active_ms = effective_totals
-            .acting_until_unix_ms
-            .saturating_sub(unix_ms());
+        let age_ms = now_ms().saturating_sub(written_by);
+        let previous_owner_active_ms = effective_totals.remaining_acting_ms(age_ms);
         self.maintain_ownership(
             epoch,
             &record,
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -17,8 +17,12 @@
 pub struct OwnershipTotals {
     /// Number of owners so far.
     pub owners: u32,
-    /// Until when a replaced owner may still act, in milliseconds since the Unix epoch; 0 if no
-    /// owner was replaced.
+    /// How long a replaced owner may still act, in milliseconds from any time after the claim that
+    /// wrote these totals; 0 if no owner was replaced. Earlier versions did not write it.
+    #[serde(default = "owner_lease_ms")]
+    pub acting_ms: u64,
+    /// The same as a time in milliseconds since the Unix epoch, for hosts of earlier versions, which
+    /// can't read totals without it. Wall clocks jump, so no other host uses it.
     pub acting_until_unix_ms: u64,
     /// Largest CPU capacity of a host that has owned the fleet, in thousandths of a core.
     #[serde(default)]
@@ -29,6 +33,17 @@
     pub last_claims_unix_ms: [u64; REMEMBERED_CLAIMS],
 }
 
+/// Lease of the owner's record in the store, in milliseconds; no owner acts for longer after it was
+/// replaced.
+pub const OWNER_LEASE_MS: u64 = 6000;
+
+/// Assumed maximum error of the wall clocks of hosts of earlier versions, in milliseconds.
+const EARLIER_VERSION_MARGIN_MS: u64 = 5000;
+
+fn owner_lease_ms() -> u64 {
+    OWNER_LEASE_MS
+}
+
 /// Number of claims whose times are remembered.
 const REMEMBERED_CLAIMS: usize = 4;
 
@@ -44,20 +59,32 @@
         u32::try_from(claims).unwrap_or(u32::MAX)
     }
 
-    /// Returns the totals after a claim. `replaces_other` means that the owner's record names
-    /// another host, which may act until its lease in the store expires.
+    /// Returns how long a replaced owner may still act, in milliseconds, if the totals had been
+    /// written at least `age_ms` ago.
+    #[must_use]
+    pub fn remaining_acting_ms(&self, age_ms: u64) -> u64 {
+        self.acting_ms.saturating_sub(age_ms)
+    }
+
+    /// Returns the totals after a claim, if the present ones had been written at least `age_ms` ago.
+    /// `replaces_other` means that the owner's record names another host, which may act until its
+    /// lease in the store expires.
     #[must_use]
     pub fn after_claim(
         self,
         replaces_other: bool,
+        age_ms: u64,
         unix_ms: u64,
-        lease_ms: u64,
         processor_milli: u32,
     ) -> Self {
-        let acting_until = if replaces_other {
-            unix_ms + lease_ms
+        let acting_ms = if replaces_other {
+            OWNER_LEASE_MS
         } else {
-            0
+            self.remaining_acting_ms(age_ms)
+        };
+        let acting_until_unix_ms = match acting_ms {
+            0 => 0,
+            _ => unix_ms + acting_ms + EARLIER_VERSION_MARGIN_MS,
         };
         let mut last_claims_unix_ms = self.last_claims_unix_ms;
         last_claims_unix_ms.rotate_right(1);
@@ -65,7 +92,8 @@
         Self {
             last_claims_unix_ms,
             owners: self.owners + 1,
-            acting_until_unix_ms: self.acting_until_unix_ms.max(acting_until),
+            acting_ms,
+            acting_until_unix_ms,
             largest_processor_milli: self.largest_processor_milli.max(processor_milli),
         }
     }
--- a/crates/host/src/store/mod.rs
+++ b/crates/host/src/store/mod.rs
@@ -11,8 +11,8 @@
 pub use commit_writer::CommitWriter;
 pub use hedged_store::{HedgeContext, hedged_store};
 pub use key_layout::{
-    EndedRecord, OWNER_KEY, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, ROSTER_KEY,
-    cancel_key, commit_key, ended_key, progress_key, submission_key,
+    EndedRecord, OWNER_KEY, OWNER_LEASE_MS, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals,
+    ROSTER_KEY, cancel_key, commit_key, ended_key, progress_key, submission_key,
 };
 pub use latency_estimator::LatencyEstimator;
 pub use recovery_reader::{list_all, parse_submission, read_recovery_state};
--- a/crates/host/tests/host/owners.rs
+++ b/crates/host/tests/host/owners.rs
@@ -7,19 +7,47 @@
 /// without confirming that it stepped down and may act until its lease expires.
 #[test]
 fn totals_cover_every_replaced_owner() {
-    // Arguments: whether another host is replaced, the Unix time and the lease in milliseconds, and
-    // the claiming host's CPU capacity in thousandths of a core.
-    let first = OwnershipTotals::default().after_claim(false, 1000, 6000, 250);
+    // Arguments: whether another host is replaced, the age of the totals and the Unix time in
+    // milliseconds, and the claiming host's CPU capacity in thousandths of a core.
+    let first = OwnershipTotals::default().after_claim(false, 0, 1000, 250);
 
-    let second = first.after_claim(true, 20_000, 6000, 500);
-    let third = second.after_claim(false, 21_000, 6000, 250);
+    let second = first.after_claim(true, 19_000, 20_000, 500);
+    let third = second.after_claim(false, 1000, 21_000, 250);
 
-    assert_eq!(first.acting_until_unix_ms, 0);
-    assert_eq!(third.acting_until_unix_ms, 26_000);
+    assert_eq!(first.acting_ms, 0);
+    assert_eq!(second.acting_ms, 6000);
+    assert_eq!(third.acting_ms, 5000);
+    assert_eq!(third.remaining_acting_ms(2000), 3000);
     assert_eq!(third.owners, 3);
     assert_eq!(third.largest_processor_milli, 500);
 }
 
+/// Guards against a short wait for a replaced owner because the wall clock of the next one jumped.
+#[test]
+fn wall_clock_does_not_change_how_long_a_replaced_owner_acts() {
+    let second = OwnershipTotals::default().after_claim(true, 0, 20_000, 250);
+
+    let behind = second.after_claim(false, 1000, 3000, 250);
+    let ahead = second.after_claim(false, 1000, 90_000, 250);
+
+    assert_eq!(behind.acting_ms, 5000);
+    assert_eq!(ahead.acting_ms, 5000);
+}
+
+/// Guards against a takeover without a wait beside hosts of an earlier version: totals of either
+/// version make readers of the other one wait for long enough.
+#[test]
+fn totals_of_an_earlier_version_mean_the_longest_wait() {
+    let stored = r#"{"owners": 3, "acting_until_unix_ms": 17}"#;
+
+    let totals: OwnershipTotals = serde_json::from_str(stored).expect("stored totals are readable");
+    let next = totals.after_claim(false, 1000, 20_000, 250);
+
+    assert_eq!(totals.remaining_acting_ms(0), 6000);
+    assert_eq!(next.acting_ms, 5000);
+    assert!(next.acting_until_unix_ms >= 25_000);
+}
+
 /// Hosts of similar CPU capacity claim without a delay; only a much smaller host lets larger ones
 /// claim first.
 #[test]
