Recognize upstreams that drained and left before a takeover

What callers saw: a standing task does not run for 13 to 14 s (LOST) if its upstream drains and leaves while no host owns the fleet. Cause: a new owner took an upstream for gone only if it had read its draining entry itself, and otherwise waited for all leases that the earlier owner may have granted until its own ended: 6 s and 6.4 s. Change: for each upstream of the roster that is missing in the directory, the new owner reads the history of its entry. It has left if its last report says that it drains, the entry was then deleted, and the report was certainly younger than two report intervals at the deletion. Proof: let r be the revision of the report, d that of the deletion. A response with revision q < r to a linearizable request sent at s shows that the store had not reached r at some time after s, so the report was written after s. A response that shows d or more and arrives at t proves that the deletion was before t. So its age at the deletion is below t - s. An entry without reports expires after three intervals only; t - s below two leaves departure as the one cause. Both times are on this host's boot-time clock. Only lists and applied writes count for s, since a watch may get its revision long after it was sent. The same bound now serves for draining reports that a new owner reads first. Tests: departures.rs in both crates; they do not build on the code before.

--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -1,7 +1,7 @@
 //! Reports that upstreams write or send about themselves and their runs, and their answers to
 //! orders.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use lagoonnotch::model::ResourceSize;
@@ -38,6 +38,9 @@
     /// Upstreams whose entries describe no usable upstream; each may be the entry of a running
     /// upstream that another writer has replaced.
     pub unreadable: BTreeSet<Arc<str>>,
+    /// Times before the latest reports of draining upstreams were written, for those known, in
+    /// milliseconds on the reading host's clock.
+    pub written_after: BTreeMap<Arc<str>, u64>,
     /// Time at which the read was requested, in milliseconds on the reading host's clock.
     pub requested_at: u64,
     /// Store revision at the read; every report with a higher revision was written after
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -42,5 +42,5 @@
 pub use owner_machine::OwnerMachine;
 pub use owner_settings::OwnerSettings;
 pub use query_dispatcher::{PolicyDecision, QueryOutcome};
-pub use recovery::{LeaseBound, RecoveredState, RosterEntry, StoredSubmission};
+pub use recovery::{DepartedUpstream, LeaseBound, RecoveredState, RosterEntry, StoredSubmission};
 pub use stop_reason::StopReason;
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -185,7 +185,8 @@
     /// report. So a draining upstream whose entry disappears sooner has left, and none of its runs
     /// exist any more. When its last report was written is known only if an earlier read of this
     /// owner did not contain that report; otherwise the upstream may be alive and merely cut off
-    /// from the store, and its runs stay allocated until it lists them or their leases expire.
+    /// from the store, and its runs stay allocated until it lists them or their leases expire. The
+    /// read may carry further such times.
     pub fn set_directory(&mut self, now: u64, read: DirectoryRead) {
         let listed: BTreeSet<_> = read
             .reports
@@ -198,9 +199,9 @@
         };
         let earlier_mark = self.directory_mark.replace(mark);
         for report in read.reports {
-            let written_after = earlier_mark
-                .filter(|mark| report.revision > mark.revision)
-                .map(|mark| mark.requested_at);
+            let newer_than_mark = earlier_mark.filter(|mark| report.revision > mark.revision);
+            let after_mark = newer_than_mark.map(|mark| mark.requested_at);
+            let written_after = after_mark.max(read.written_after.get(&report.id).copied());
             self.set_report(now, report, written_after);
         }
         let mut unlisted_draining = Vec::new();
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -9,11 +9,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{ProgressRecord, ResourceSize, SubmissionRecord, TaskName, UpstreamReport};
-use crate::owner::OwnerMachine;
 use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
 use crate::owner::upstream_entry::{
     ContactState, DirectoryPresence, RunEntry, RunPhase, UpstreamEntry,
 };
+use crate::owner::{OwnerEffect, OwnerMachine, UnlistedReport};
 
 /// An upstream that may hold leases.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -69,6 +69,15 @@
     pub cancelled: bool,
 }
 
+/// An upstream that has left, as the history of its directory entry shows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DepartedUpstream {
+    /// Identifier of the upstream.
+    pub id: Arc<str>,
+    /// Maximum age of its last report when its entry was deleted, in milliseconds.
+    pub max_report_age_ms: u64,
+}
+
 /// Everything that the store holds for a new owner.
 #[derive(Clone, Debug, Default)]
 pub struct RecoveredState {
@@ -76,6 +85,8 @@
     pub submissions: Vec<StoredSubmission>,
     /// Upstreams that may hold leases of earlier owners.
     pub roster: Vec<RosterEntry>,
+    /// Draining upstreams of the roster that have left.
+    pub departed: Vec<DepartedUpstream>,
     /// A time by which the roster had been written, in milliseconds on the new owner's clock.
     pub roster_written_by: u64,
     /// Store revision up to which all submissions that had not ended are listed.
@@ -105,6 +116,9 @@
         for stored in recovered.submissions {
             self.restore_submission(now, stored);
         }
+        for departed in recovered.departed {
+            self.release_departed(now, &departed);
+        }
         self.request_placement();
     }
 
@@ -146,6 +160,22 @@
         self.awaiting_first_reply.insert(id, roster_entry);
     }
 
+    /// Releases the runs of an upstream that has left.
+    fn release_departed(&mut self, now: u64, departed: &DepartedUpstream) {
+        let Some(entry) = self.upstreams.get_mut(&departed.id) else {
+            return;
+        };
+        entry.drained_incarnation = entry.runs_incarnation;
+        self.effects
+            .push(OwnerEffect::ReportUnlisted(UnlistedReport {
+                upstream: departed.id.clone(),
+                max_report_age_ms: Some(departed.max_report_age_ms),
+                run_count: entry.runs.len(),
+                has_left: true,
+            }));
+        self.on_incarnation_ended(now, &departed.id);
+    }
+
     fn restore_submission(&mut self, now: u64, stored: StoredSubmission) {
         let id = stored.record.id.clone();
         let mut entry = SubmissionEntry::new(stored.record, now);
--- a/crates/fleet/tests/fleet/fixtures.rs
+++ b/crates/fleet/tests/fleet/fixtures.rs
@@ -1,6 +1,6 @@
 //! Configurations, submissions and upstreams shared by the tests.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use lagoonnotch_fleet::model::{
@@ -100,6 +100,7 @@
     DirectoryRead {
         reports,
         unreadable: BTreeSet::new(),
+        written_after: BTreeMap::new(),
         requested_at: now,
         revision: now,
     }
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod commits;
 mod crashes;
+mod departures;
 mod fixtures;
 mod gangs;
 mod invariant_checks;
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -562,6 +562,7 @@
             cancelled: false,
         }],
         roster: roster.to_vec(),
+        departed: Vec::new(),
         roster_written_by: 1000,
         previous_owner_active_ms: 0,
     };
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -8,9 +8,9 @@
     StopOutcome, SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, CrashReport, OwnerEffect, OwnerMachine, OwnerSettings,
-    PolicyDecision, QueryOutcome, RecoveredState, RenewOrder, RosterEntry, StartOrder, StopOrder,
-    StoredSubmission,
+    CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, OwnerEffect, OwnerMachine,
+    OwnerSettings, PolicyDecision, QueryOutcome, RecoveredState, RenewOrder, RosterEntry,
+    StartOrder, StopOrder, StoredSubmission,
 };
 
 use crate::fixtures::{directory_read, report};
@@ -111,6 +111,11 @@
     roster_written_at: u64,
     /// Time after which other hosts notice that the roster was written, in milliseconds.
     pub roster_sighting_delay_ms: u64,
+    /// Upstreams of which new owners know that they have left.
+    pub departed: Vec<DepartedUpstream>,
+    /// How much earlier than a draining upstream's report the time is that reads of the directory
+    /// give for it, in milliseconds; `None` if they give none.
+    pub report_age_error_ms: Option<u64>,
     /// Lead of the owner's wall clock over its steady clock, in milliseconds.
     pub wall_clock_lead_ms: u64,
     pub epoch: u64,
@@ -175,6 +180,8 @@
             roster: Vec::new(),
             roster_written_at: 0,
             roster_sighting_delay_ms: 0,
+            departed: Vec::new(),
+            report_age_error_ms: None,
             wall_clock_lead_ms: 0,
             epoch: 0,
             generation: 0,
@@ -221,6 +228,7 @@
             RecoveredState {
                 submissions,
                 roster: self.roster.clone(),
+                departed: self.departed.clone(),
                 roster_written_by: self.roster_written_at + self.roster_sighting_delay_ms,
                 revision: self.revision,
                 stale_cancels: Vec::new(),
@@ -311,8 +319,18 @@
                 .filter(|upstream| !self.unreadable.contains(&upstream.id))
                 .filter_map(|upstream| self.directory_entry(upstream))
                 .collect();
+            let reports: Vec<_> = reports;
+            let written_after = self
+                .report_age_error_ms
+                .map_or_else(BTreeMap::new, |error_ms| {
+                    let draining = reports.iter().filter(|report| report.draining);
+                    draining
+                        .map(|report| (report.id.clone(), report.revision - error_ms))
+                        .collect()
+                });
             let read = DirectoryRead {
                 unreadable: self.unreadable.clone(),
+                written_after,
                 ..directory_read(self.now, reports)
             };
             owner.set_directory(self.now, read);
--- /dev/null
+++ b/crates/host/src/ownership/departures.rs
@@ -0,0 +1,102 @@
+//! Finds the upstreams that left while no owner read the directory.
+//!
+//! A draining upstream whose entry is deleted less than two report intervals after its last report
+//! has left: an entry without reports expires only after three. The store's history has both events
+//! with their revisions but without times. This host's log of revisions bounds the times: from below
+//! for the report, and from above for the deletion.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{StreamExt, stream};
+use lagoonnotch_fleet::model::DirectoryRead;
+use lagoonnotch_fleet::owner::{DepartedUpstream, OwnerSettings, RosterEntry};
+use tokio::time::timeout;
+
+use crate::ownership::OwnershipContext;
+use crate::ports::{ReportParser, StoreItem, WatchRequest};
+use crate::store::RevisionLog;
+
+/// Maximum number of upstreams whose history is read; after the loss of many, a takeover must not
+/// overload the store.
+const MAX_HISTORIES: usize = 64;
+
+/// Number of histories that are read at a time.
+const PARALLEL_HISTORIES: usize = 8;
+
+/// Time that a watch waits for an event if there is none, in milliseconds.
+const HISTORY_WAIT_MS: u64 = 20;
+
+/// Maximum time for reading all histories; the takeover waits for it.
+const HISTORIES_TIMEOUT: Duration = Duration::from_millis(600);
+
+impl OwnershipContext {
+    /// Returns the upstreams of the roster that are missing in a read of the directory because they
+    /// have left. Others may be missing for the same reason without a proof.
+    pub(super) async fn find_departed(
+        &self,
+        roster: &[RosterEntry],
+        directory: &DirectoryRead,
+    ) -> Vec<DepartedUpstream> {
+        let log = self.view.revision_log();
+        let Some(after) = log.oldest_revision() else {
+            return Vec::new();
+        };
+        let listed = directory.reports.iter().map(|report| &report.id);
+        let listed: HashSet<_> = listed.chain(&directory.unreadable).collect();
+        let missing = roster.iter().map(|entry| &entry.id);
+        let missing = missing.filter(|id| !listed.contains(id));
+        let missing: Vec<_> = missing.take(MAX_HISTORIES).cloned().collect();
+        let mut departed = Vec::new();
+        let searches = stream::iter(missing)
+            .map(|id| self.read_departure(id, after))
+            .buffer_unordered(PARALLEL_HISTORIES)
+            .for_each(|found| {
+                departed.extend(found);
+                std::future::ready(())
+            });
+        // Without all histories, the departures that were found still count.
+        let _ = timeout(HISTORIES_TIMEOUT, searches).await;
+        departed
+    }
+
+    async fn read_departure(&self, id: Arc<str>, after: u64) -> Option<DepartedUpstream> {
+        let key = format!("{}{id}", self.ports.directory_prefix);
+        let request = WatchRequest {
+            prefix: key.clone(),
+            after,
+            wait_ms: HISTORY_WAIT_MS,
+        };
+        let history = (self.ports.store.watch)(request).await.ok()?;
+        let log = self.view.revision_log();
+        let max_report_age_ms =
+            departure_report_age_ms(&history.items, &key, log, &self.ports.parse_report)?;
+        Some(DepartedUpstream {
+            id,
+            max_report_age_ms,
+        })
+    }
+}
+
+/// Returns the maximum age that the last report of an upstream had when its entry was deleted, if
+/// its history shows that it has left; `None` if the history shows nothing.
+#[must_use]
+pub fn departure_report_age_ms(
+    history: &[StoreItem],
+    key: &str,
+    log: &RevisionLog,
+    parse_report: &ReportParser,
+) -> Option<u64> {
+    let mut newest_first = history.iter().rev().filter(|item| item.key == key);
+    let (deletion, last_report) = (newest_first.next()?, newest_first.next()?);
+    if !deletion.deleted || last_report.deleted {
+        return None;
+    }
+    let report = parse_report(last_report).ok()?;
+    let written_after = log.written_after(last_report.revision)?;
+    let deleted_by = log.written_by(deletion.revision)?;
+    let age_ms = deleted_by.saturating_sub(written_after);
+    let interval_ms = OwnerSettings::default().report_interval_ms;
+    (report.draining && age_ms < 2 * interval_ms).then_some(age_ms)
+}
--- a/crates/host/src/ownership/owner_polling.rs
+++ b/crates/host/src/ownership/owner_polling.rs
@@ -92,8 +92,14 @@
             .map(Into::into)
             .collect();
         findings.log_new(&unreadable);
+        let log = self.view.revision_log();
+        let draining = reports.iter().filter(|report| report.draining);
+        let written_after = draining
+            .filter_map(|report| Some((report.id.clone(), log.written_after(report.revision)?)))
+            .collect();
         Some(DirectoryRead {
             reports,
+            written_after,
             unreadable: unreadable_ids,
             requested_at,
             revision,
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -383,6 +383,9 @@
         recovered.previous_owner_active_ms = previous_owner_active_ms;
         let mut findings = DirectoryFindings::default();
         let directory = self.read_directory(&mut findings).await;
+        if let Some(read) = &directory {
+            recovered.departed = self.find_departed(&recovered.roster, read).await;
+        }
         self.control
             .send(ControlInput::OwnershipGranted(Box::new(OwnershipGrant {
                 epoch,
--- a/crates/host/src/ports/mod.rs
+++ b/crates/host/src/ports/mod.rs
@@ -4,7 +4,9 @@
 mod store_port;
 mod upstream_port;
 
-pub use platform_ports::{OperatorState, PlatformPorts, Port, PortFuture, SubmissionDraft, port};
+pub use platform_ports::{
+    OperatorState, PlatformPorts, Port, PortFuture, ReportParser, SubmissionDraft, port,
+};
 pub use store_port::{
     LeaseGrant, ListPage, ListRequest, StoreError, StoreItem, StorePort, WatchRequest,
     WatchResponse, WriteOutcome, WriteRequest,
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -86,6 +86,7 @@
     let recovered = RecoveredState {
         submissions,
         roster,
+        departed: Vec::new(),
         roster_written_by: log.written_by(roster_revision).unwrap_or_else(now_ms),
         revision: submissions_revision,
         stale_cancels,
--- a/crates/host/src/store/revision_log.rs
+++ b/crates/host/src/store/revision_log.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::clock::now_ms;
-use crate::ports::{ListRequest, StorePort, WatchRequest, port};
+use crate::ports::{ListRequest, StorePort, WatchRequest, WriteOutcome, WriteRequest, port};
 
 /// Time for which sightings are kept, in milliseconds; no wait that they shorten is longer.
 const RETENTION_MS: u64 = 15_000;
@@ -21,11 +21,25 @@
     seen_at: u64,
 }
 
+/// The store was at a revision at some time after this request, so that every higher revision was
+/// written after it.
+#[derive(Clone, Copy, Debug)]
+struct RevisionRequest {
+    revision: u64,
+    /// Time in milliseconds on this host's boot-time clock.
+    sent_at: u64,
+}
+
+/// Minimum time between two requests that are kept, in milliseconds.
+const REQUEST_SPACING_MS: u64 = 50;
+
 /// Sightings of the store's revision by this host.
 #[derive(Clone, Debug, Default)]
 pub struct RevisionLog {
     /// Ordered by revision, without duplicates.
     sightings: Arc<Mutex<VecDeque<RevisionSighting>>>,
+    /// Ordered by time.
+    requests: Arc<Mutex<VecDeque<RevisionRequest>>>,
 }
 
 impl RevisionLog {
@@ -57,14 +71,54 @@
         sightings.get(index).map(|sighting| sighting.seen_at)
     }
 
+    /// Records a linearizable request that was sent at a time and answered with the store's
+    /// revision.
+    pub fn record_request(&self, revision: u64, sent_at: u64) {
+        let mut requests = lock(&self.requests);
+        let is_close = |last: &RevisionRequest| sent_at < last.sent_at + REQUEST_SPACING_MS;
+        if requests.back().is_some_and(is_close) {
+            return;
+        }
+        requests.push_back(RevisionRequest { revision, sent_at });
+        let kept_from = sent_at.saturating_sub(RETENTION_MS);
+        while requests
+            .front()
+            .is_some_and(|first| first.sent_at < kept_from)
+        {
+            requests.pop_front();
+        }
+    }
+
+    /// Returns a time after which a revision was written, if one is known. It may be much earlier
+    /// than the write.
+    #[must_use]
+    pub fn written_after(&self, revision: u64) -> Option<u64> {
+        let requests = lock(&self.requests);
+        let earlier = requests
+            .iter()
+            .rev()
+            .find(|request| request.revision < revision);
+        earlier.map(|request| request.sent_at)
+    }
+
+    /// Returns the lowest revision of which a sighting is kept.
+    #[must_use]
+    pub fn oldest_revision(&self) -> Option<u64> {
+        self.lock().front().map(|sighting| sighting.revision)
+    }
+
     fn lock(&self) -> MutexGuard<'_, VecDeque<RevisionSighting>> {
-        self.sightings
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.sightings)
     }
 }
 
-/// Returns a store port whose reads, lists and watches record the revisions that they return.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns a store port whose reads, lists, watches and writes record the revisions that they
+/// return. A watch may have got its revision long after it was sent, and a read returns that of its
+/// item, so neither counts as a request.
 #[must_use]
 pub fn logged_store(store: &StorePort, log: &RevisionLog) -> StorePort {
     let read = {
@@ -83,10 +137,11 @@
     let list = {
         let (list, log) = (store.list.clone(), log.clone());
         port(move |request: ListRequest| {
-            let (response, log) = (list(request), log.clone());
+            let (sent_at, response, log) = (now_ms(), list(request), log.clone());
             async move {
                 let response = response.await;
                 if let Ok(page) = &response {
+                    log.record_request(page.revision, sent_at);
                     log.record(page.revision, now_ms());
                 }
                 response
@@ -106,10 +161,25 @@
             }
         })
     };
+    let write = {
+        let (write, log) = (store.write.clone(), log.clone());
+        port(move |request: WriteRequest| {
+            let (sent_at, response, log) = (now_ms(), write(request), log.clone());
+            async move {
+                let response = response.await;
+                if let WriteOutcome::Applied(revision) = response {
+                    log.record_request(revision, sent_at);
+                    log.record(revision, now_ms());
+                }
+                response
+            }
+        })
+    };
     StorePort {
         read,
         list,
         watch,
+        write,
         ..store.clone()
     }
 }
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod commits;
 mod config_freshness;
+mod departures;
 mod events;
 mod explain;
 mod fake_store;
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -623,6 +623,7 @@
             .collect();
         // Virtual time serves as the store's revision.
         let read = DirectoryRead {
+            written_after: BTreeMap::new(),
             reports,
             unreadable: BTreeSet::new(),
             requested_at: now,
@@ -674,6 +675,7 @@
         let recovered = RecoveredState {
             submissions,
             roster: self.roster.clone(),
+            departed: Vec::new(),
             roster_written_by: self.now,
             revision: self.revision,
             stale_cancels: Vec::new(),
