Ask other hosts when they saw the store's revisions

Change: if upstreams of the roster are missing in the directory, a new owner asks up to eight hosts for their requests to the store, as revisions with ages. An age holds for a time after the call was made, so the request was sent no earlier than the call's time less the age, which is the bound that the proof needs. The call is the last of the service; a host of an earlier version closes the connection, which counts as no answer. The takeover waits 100 ms for it at most. Test: requests_of_another_host_prove_a_departure (does not build before).

--- a/crates/host/src/ownership/departures.rs
+++ b/crates/host/src/ownership/departures.rs
@@ -9,11 +9,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use futures::{StreamExt, stream};
 use lagoonnotch_fleet::model::DirectoryRead;
 use lagoonnotch_fleet::owner::{DepartedUpstream, OwnerSettings, RosterEntry};
 use tokio::time::timeout;
 
+use crate::clock::now_ms;
 use crate::ownership::OwnershipContext;
 use crate::ports::{ReportParser, StoreItem, WatchRequest};
 use crate::store::RevisionLog;
@@ -28,6 +30,12 @@
 /// Time that a watch waits for an event if there is none, in milliseconds.
 const HISTORY_WAIT_MS: u64 = 20;
 
+/// Maximum number of hosts that are asked for their requests.
+const MAX_ASKED_PEERS: usize = 8;
+
+/// Maximum time for the answers of the hosts; the takeover waits for them.
+const PEERS_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Maximum time for reading all histories; the takeover waits for it.
 const HISTORIES_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -48,6 +56,10 @@
         let missing = roster.iter().map(|entry| &entry.id);
         let missing = missing.filter(|id| !listed.contains(id));
         let missing: Vec<_> = missing.take(MAX_HISTORIES).cloned().collect();
+        if missing.is_empty() {
+            return Vec::new();
+        }
+        self.ask_peers().await;
         let mut departed = Vec::new();
         let searches = stream::iter(missing)
             .map(|id| self.read_departure(id, after))
@@ -61,6 +73,21 @@
         departed
     }
 
+    /// Adds the requests of some other hosts to the log, since this one may have sent few.
+    async fn ask_peers(&self) {
+        let addresses = self.view.relay_addresses(&self.address);
+        let asked = addresses.iter().take(MAX_ASKED_PEERS);
+        let calls = asked.map(|address| async move {
+            let asked_at = now_ms();
+            if let Ok(requests) = self.clients.revision_requests(address).await {
+                let log = self.view.revision_log();
+                log.add_peer_requests(asked_at, &requests);
+            }
+        });
+        // A host that does not answer, or does not know the call, bounds nothing.
+        let _ = timeout(PEERS_TIMEOUT, join_all(calls)).await;
+    }
+
     async fn read_departure(&self, id: Arc<str>, after: u64) -> Option<DepartedUpstream> {
         let key = format!("{}{id}", self.ports.directory_prefix);
         let request = WatchRequest {
--- a/crates/host/src/peer/mod.rs
+++ b/crates/host/src/peer/mod.rs
@@ -7,6 +7,6 @@
 pub use peer_clients::{PeerClients, PeerError};
 pub use peer_server::PeerServer;
 pub use peer_service::{
-    ConfigFingerprint, HeartbeatReply, HeartbeatRequest, NewSubmission, PeerInfo, PeerService,
-    PeerServiceClient, RelayedDecision, SubmissionLookup,
+    AgedRequest, ConfigFingerprint, HeartbeatReply, HeartbeatRequest, NewSubmission, PeerInfo,
+    PeerService, PeerServiceClient, RelayedDecision, SubmissionLookup,
 };
--- a/crates/host/src/peer/peer_clients.rs
+++ b/crates/host/src/peer/peer_clients.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use crate::peer::{
-    HeartbeatReply, HeartbeatRequest, NewSubmission, PeerServiceClient, RelayedDecision,
-    SubmissionLookup,
+    AgedRequest, HeartbeatReply, HeartbeatRequest, NewSubmission, PeerServiceClient,
+    RelayedDecision, SubmissionLookup,
 };
 use crate::ports::{ListPage, ListRequest, StoreError, StoreItem, WriteOutcome, WriteRequest};
 
@@ -84,6 +84,24 @@
         self.check_reply(address, reply)
     }
 
+    /// Returns requests to the store that a peer sent, with their ages at a time after the call was
+    /// made.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer could not be reached or did not reply in time, or is of a
+    /// version that does not know the call.
+    pub async fn revision_requests(
+        &self,
+        address: &Arc<str>,
+    ) -> Result<Vec<AgedRequest>, PeerError> {
+        let client = self.client(address).await?;
+        let reply = client
+            .revision_requests(context_with_timeout(CALL_TIMEOUT))
+            .await;
+        self.check_reply(address, reply)
+    }
+
     /// Notifies the owner of stored submissions.
     ///
     /// # Errors
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -14,10 +14,12 @@
 use tarpc::tokio_util::codec::length_delimited::LengthDelimitedCodec;
 use tokio::net::TcpListener;
 
+use crate::clock::now_ms;
 use crate::control::{ControlHandle, HostView};
 use crate::metrics::{WorkKind, measured};
 use crate::peer::{
-    HeartbeatReply, HeartbeatRequest, NewSubmission, PeerService, RelayedDecision, SubmissionLookup,
+    AgedRequest, HeartbeatReply, HeartbeatRequest, NewSubmission, PeerService, RelayedDecision,
+    SubmissionLookup,
 };
 use crate::ports::{
     ListPage, ListRequest, PolicyRequest, StoreError, StoreItem, StorePort, UpstreamPort,
@@ -142,4 +144,8 @@
             QueryOutcome::Failed => None,
         }
     }
+
+    async fn revision_requests(self, _: Context) -> Vec<AgedRequest> {
+        self.view.revision_log().recent_requests(now_ms())
+    }
 }
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -88,6 +88,15 @@
     pub valid_ms: u64,
 }
 
+/// A linearizable request to the store that another host sent.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AgedRequest {
+    /// Store revision in the response.
+    pub revision: u64,
+    /// Time since the request was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Calls between hosts.
 #[tarpc::service]
 pub trait PeerService {
@@ -122,4 +131,8 @@
         upstreams: Vec<Arc<str>>,
         timeout_ms: u64,
     ) -> Option<RelayedDecision>;
+
+    /// Returns requests to the store that bound when revisions were written. Hosts of earlier
+    /// versions do not know this call, so it must stay after the ones above.
+    async fn revision_requests() -> Vec<AgedRequest>;
 }
--- a/crates/host/src/store/revision_log.rs
+++ b/crates/host/src/store/revision_log.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::clock::now_ms;
+use crate::peer::AgedRequest;
 use crate::ports::{ListRequest, StorePort, WatchRequest, WriteOutcome, WriteRequest, port};
 
 /// Time for which sightings are kept, in milliseconds; no wait that they shorten is longer.
@@ -33,6 +34,9 @@
 /// Minimum time between two requests that are kept, in milliseconds.
 const REQUEST_SPACING_MS: u64 = 50;
 
+/// Maximum number of requests that a host tells another one.
+const MAX_SHARED_REQUESTS: usize = 100;
+
 /// Sightings of the store's revision by this host.
 #[derive(Clone, Debug, Default)]
 pub struct RevisionLog {
@@ -101,6 +105,33 @@
         earlier.map(|request| request.sent_at)
     }
 
+    /// Returns the newest requests, with their ages at a time.
+    #[must_use]
+    pub fn recent_requests(&self, now: u64) -> Vec<AgedRequest> {
+        let requests = lock(&self.requests);
+        let newest = requests.iter().rev().take(MAX_SHARED_REQUESTS);
+        newest
+            .map(|request| AgedRequest {
+                revision: request.revision,
+                age_ms: now.saturating_sub(request.sent_at),
+            })
+            .collect()
+    }
+
+    /// Adds the requests of another host, whose ages are those at a time after `asked_at`.
+    pub fn add_peer_requests(&self, asked_at: u64, aged: &[AgedRequest]) {
+        let mut requests = lock(&self.requests);
+        for request in aged {
+            requests.push_back(RevisionRequest {
+                revision: request.revision,
+                sent_at: asked_at.saturating_sub(request.age_ms),
+            });
+        }
+        requests
+            .make_contiguous()
+            .sort_unstable_by_key(|request| request.sent_at);
+    }
+
     /// Returns the lowest revision of which a sighting is kept.
     #[must_use]
     pub fn oldest_revision(&self) -> Option<u64> {
--- a/crates/host/tests/host/departures.rs
+++ b/crates/host/tests/host/departures.rs
@@ -120,6 +120,23 @@
     assert_eq!(ages, vec![None; 7]);
 }
 
+/// Guards against waiting for leases because this host itself sent no request in time: the requests
+/// of another host bound the report's age, from when that host was asked.
+#[test]
+fn requests_of_another_host_prove_a_departure() {
+    let history = [written(KEY, 10, "draining"), deleted(KEY, 15)];
+    let peer_log = RevisionLog::default();
+    peer_log.record_request(9, 70_000);
+    peer_log.record_request(12, 71_000);
+    let log = RevisionLog::default();
+    log.record(20, 5000);
+
+    log.add_peer_requests(4500, &peer_log.recent_requests(72_000));
+    let age_ms = departure_report_age_ms(&history, KEY, &log, &report_parser());
+
+    assert_eq!(age_ms, Some(2500));
+}
+
 /// Guards against a report that counts as younger than it is: a revision that a response shows may
 /// have been written before the request.
 #[test]
