Grant no lease while the stored roster still bounds the leases

What callers could see: two runs of a task (TWICE) after a takeover. An upstream answers while the commit that records its silence is being stored. The outcome of that commit marked the upstream as listed in the stored roster, and leases were granted again, although the store still bounded them for a successor. Cause: on_commit marked every upstream of the stored roster, whether or not the roster called it silent. Change: only entries that are not silent count. The next roster, which the answer has requested, allows leases. Test: no_lease_is_granted_while_the_stored_roster_bounds_the_leases was seen to fail before (one lease granted).

--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -394,7 +394,9 @@
                 for ended in &batch.ended {
                     self.mark_archived(now, &ended.id);
                 }
-                for roster_entry in batch.roster.iter().flatten() {
+                let roster = batch.roster.iter().flatten();
+                // An upstream may have answered after it was recorded as silent.
+                for roster_entry in roster.filter(|roster_entry| !roster_entry.is_silent()) {
                     if let Some(entry) = self.upstreams.get_mut(&roster_entry.id) {
                         entry.in_stored_roster = true;
                     }
--- a/crates/fleet/tests/fleet/lease_expiry.rs
+++ b/crates/fleet/tests/fleet/lease_expiry.rs
@@ -1,9 +1,14 @@
 //! Waits of a new owner for the leases of silent upstreams.
 
-use lagoonnotch_fleet::model::{ResourceSize, SubmissionState};
-use lagoonnotch_fleet::owner::RosterEntry;
+use lagoonnotch_fleet::model::{
+    ProgressRecord, RenewReply, ResourceSize, RunRecord, RunReport, SubmissionState,
+};
+use lagoonnotch_fleet::owner::{
+    CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState,
+    RosterEntry, StoredSubmission,
+};
 
-use crate::fixtures::{config, queue, step, submission};
+use crate::fixtures::{POOL, config, queue, step, submission};
 use crate::simulation::FleetSimulation;
 
 /// Returns a simulation whose owner has stored that `u0`, which runs tasks, is silent.
@@ -85,3 +90,110 @@
     assert_eq!(entry.lease_bound, None);
     assert!(!written.contains("lapses_unix_ms"));
 }
+
+/// Takes the effects of a tick and returns its commits and the leases that its renewals grant.
+fn tick(owner: &mut OwnerMachine, now: u64) -> (Vec<CommitBatch>, Vec<u64>) {
+    owner.tick(now, now, true);
+    let (mut commits, mut deadlines) = (Vec::new(), Vec::new());
+    for effect in owner.take_effects() {
+        match effect {
+            OwnerEffect::Commit(batch) => commits.push(batch),
+            OwnerEffect::Renew(order) => deadlines.extend(order.deadline_ms),
+            _ => {}
+        }
+    }
+    (commits, deadlines)
+}
+
+/// Guards against granting leases while the store still says that the upstream is silent: it answers
+/// while the commit that says so is being stored.
+#[test]
+fn no_lease_is_granted_while_the_stored_roster_bounds_the_leases() {
+    let (mut owner, recovered) = owner_and_stored_run();
+    owner.recover(1000, recovered);
+    let mut now = 1000;
+    let silent = loop {
+        now += 10;
+        let (commits, _) = tick(&mut owner, now);
+        let (silent, others): (Vec<_>, Vec<_>) = commits
+            .into_iter()
+            .partition(|batch| batch.roster.iter().flatten().any(RosterEntry::is_silent));
+        for batch in others {
+            owner.on_commit(now, &batch, CommitOutcome::Stored);
+        }
+        if let Some(batch) = silent.into_iter().next() {
+            break batch;
+        }
+        assert!(now < 5000);
+    };
+
+    let mut granted = Vec::new();
+    let upstream = "u0".into();
+    owner.on_renewed(now + 10, now + 9, &upstream, &reply_with_stored_run());
+    granted.extend(tick(&mut owner, now + 40).1);
+    owner.on_commit(now + 50, &silent, CommitOutcome::Stored);
+    owner.on_renewed(now + 60, now + 59, &upstream, &reply_with_stored_run());
+    let (commits, granted_before) = tick(&mut owner, now + 500);
+    granted.extend(granted_before);
+    for batch in &commits {
+        owner.on_commit(now + 510, batch, CommitOutcome::Stored);
+    }
+    owner.on_renewed(now + 520, now + 519, &upstream, &reply_with_stored_run());
+    let (_, granted_later) = tick(&mut owner, now + 600);
+
+    assert_eq!(granted, Vec::<u64>::new());
+    assert_eq!(granted_later.len(), 1);
+}
+
+/// Returns an owner, and stored state with a run of `s1` on `u0`.
+fn owner_and_stored_run() -> (OwnerMachine, RecoveredState) {
+    let policy = queue("ledger", 2);
+    let approved = config(vec![policy.clone()], ResourceSize::ZERO);
+    let owner = OwnerMachine::new(OwnerSettings::default(), 50, 1, approved);
+    let run = RunRecord {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        attempt: 1,
+        upstream: "u0".into(),
+    };
+    let recovered = RecoveredState {
+        submissions: vec![StoredSubmission {
+            record: submission("s1", &policy, vec![step(1)]),
+            progress: Some(ProgressRecord {
+                state: SubmissionState::Running,
+                steps: Vec::new(),
+                runs: vec![run],
+            }),
+            cancelled: false,
+        }],
+        roster: vec![RosterEntry {
+            id: "u0".into(),
+            pool: POOL.into(),
+            address: "u0".into(),
+            failure_domain: "west".into(),
+            incarnation_unix_ms: 1,
+            lease_bound: None,
+            leases_expire_unix_ms: None,
+        }],
+        roster_written_by: 1000,
+        ..RecoveredState::default()
+    };
+    (owner, recovered)
+}
+
+fn reply_with_stored_run() -> RenewReply {
+    RenewReply {
+        clock_ms: 5000,
+        incarnation_unix_ms: 1,
+        running: vec![RunReport {
+            task: "s1.0.0.0".into(),
+            attempt: 1,
+            checkpoint: "".into(),
+            percent: 10,
+            recent_metric: 0,
+        }],
+        finished: Vec::new(),
+        finished_truncated: false,
+    }
+}
