--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -8,9 +8,9 @@
     StopOutcome, SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, CrashReport, OwnerEffect, OwnerMachine, OwnerSettings,
-    PolicyDecision, QueryOutcome, RecoveredState, RenewOrder, RosterEntry, StartOrder, StopOrder,
-    StoredSubmission,
+    CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, OwnerEffect, OwnerMachine,
+    OwnerSettings, PolicyDecision, QueryOutcome, RecoveredState, RenewOrder, RosterEntry,
+    StartOrder, StopOrder, StoredSubmission,
 };
 
 use crate::fixtures::{directory_read, report};
@@ -108,9 +108,19 @@
     pub ended: BTreeSet<Arc<str>>,
     pub progress: HashMap<Arc<str>, ProgressRecord>,
     pub roster: Vec<RosterEntry>,
+    roster_written_at: u64,
+    /// Time after which other hosts notice that the roster was written, in milliseconds.
+    pub roster_sighting_delay_ms: u64,
+    /// Upstreams of which new owners know that they have left.
+    pub departed: Vec<DepartedUpstream>,
+    /// How much earlier than a draining upstream's report the time is that reads of the directory
+    /// give for it, in milliseconds; `None` if they give none.
+    pub report_age_error_ms: Option<u64>,
+    /// Lead of the owner's wall clock over its steady clock, in milliseconds.
+    pub wall_clock_lead_ms: u64,
     pub epoch: u64,
     /// Number of owners so far.
-    generation: u32,
+    pub generation: u32,
     revision: u64,
     /// Messages in transit, by time of delivery and sequence number.
     in_transit: BTreeMap<(u64, u64), Message>,
@@ -170,6 +180,11 @@
             ended: BTreeSet::new(),
             progress: HashMap::new(),
             roster: Vec::new(),
+            roster_written_at: 0,
+            roster_sighting_delay_ms: 0,
+            departed: Vec::new(),
+            report_age_error_ms: None,
+            wall_clock_lead_ms: 0,
             epoch: 0,
             generation: 0,
             revision: 1,
@@ -212,11 +227,12 @@
             })
             .collect();
         owner.recover(
-            self.now,
             self.now,
             RecoveredState {
                 submissions,
                 roster: self.roster.clone(),
+                departed: self.departed.clone(),
+                roster_written_by: self.roster_written_at + self.roster_sighting_delay_ms,
                 revision: self.revision,
                 stale_cancels: Vec::new(),
                 previous_owner_active_ms: if self.previous.is_some() { 6000 } else { 0 },
@@ -307,8 +323,18 @@
                 .filter(|upstream| !self.unreadable.contains(&upstream.id))
                 .filter_map(|upstream| self.directory_entry(upstream))
                 .collect();
+            let reports: Vec<_> = reports;
+            let written_after = self
+                .report_age_error_ms
+                .map_or_else(BTreeMap::new, |error_ms| {
+                    let draining = reports.iter().filter(|report| report.draining);
+                    draining
+                        .map(|report| (report.id.clone(), report.revision - error_ms))
+                        .collect()
+                });
             let read = DirectoryRead {
                 unreadable: self.unreadable.clone(),
+                written_after,
                 ..directory_read(self.now, reports)
             };
             owner.set_directory(self.now, read);
@@ -349,7 +375,7 @@
 
     /// Ticks an owner and sends its effects.
     fn tick_and_send(&mut self, owner: &mut OwnerMachine) {
-        owner.tick(self.now, self.now, true);
+        owner.tick(self.now, self.now + self.wall_clock_lead_ms, true);
         let epoch = owner.epoch();
         for effect in owner.take_effects() {
             self.send(epoch, effect);
@@ -554,6 +580,7 @@
         }
         if let Some(roster) = &batch.roster {
             self.roster.clone_from(roster);
+            self.roster_written_at = self.now;
         }
         if self.random.chance(self.faults.lost_commits) {
             self.push(
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -2,10 +2,12 @@
 
 mod accepted_cursor;
 mod claim_policy;
+mod departures;
 mod owner_polling;
 mod owner_watch;
 mod ownership_claimer;
 
 pub use accepted_cursor::{AcceptedCursor, WatchCoverage};
 pub use claim_policy::{ClaimEvidence, claim_reason};
+pub use departures::departure_report_age_ms;
 pub use ownership_claimer::{OwnershipClaimer, OwnershipContext, is_much_smaller};
