Forward lease renewals to other hosts in large fleets

An owner with more than 1,000 upstreams for each core of its own hands renewals to one delegate for each failure domain, in batches that are acknowledged at once; outcomes come back in batches too. Start and stop orders stay with the owner.

The new tests fail without the forwarder (`small_fleet_is_renewed_directly` was seen to fail with the threshold lowered).

--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use lagoonnotch::model::ResourceSize;
+use serde::{Deserialize, Serialize};
 
 /// The latest report that an upstream wrote about itself to the directory, the store's list of
 /// upstreams.
@@ -46,7 +47,7 @@
 }
 
 /// A run that is present on an upstream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RunReport {
     /// Task name.
     pub task: Arc<str>,
@@ -62,7 +63,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RunOutcome {
     /// It completed its work.
     Done,
@@ -79,7 +80,7 @@
 }
 
 /// A finished run, listed by the upstream until it is acknowledged.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct FinishedRun {
     /// Sequence number of the finished run in this incarnation of the upstream.
     pub number: u64,
@@ -94,7 +95,7 @@
 }
 
 /// Reply to a renewal of an upstream's leases.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RenewReply {
     /// Current reading of the upstream's clock, in milliseconds.
     pub clock_ms: u64,
--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -2,16 +2,20 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::model::{CrashScope, TaskName};
 use crate::owner::{CommitBatch, StopReason};
 
 /// An order to renew an upstream's leases; the reply lists running and finished runs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RenewOrder {
     /// Identifier of the upstream.
     pub upstream: Arc<str>,
     /// Address of the upstream.
     pub address: Arc<str>,
+    /// Failure domain of the upstream.
+    pub failure_domain: Arc<str>,
     /// Epoch of the owner.
     pub epoch: u64,
     /// Highest number such that the changes of all finished runs up to it are stored.
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -338,6 +338,12 @@
         (self.active.len(), self.run_count)
     }
 
+    /// Returns the number of upstreams.
+    #[must_use]
+    pub fn upstream_count(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// Returns whether the owner has stepped down because another host replaced it.
     #[must_use]
     pub fn has_stepped_down(&self) -> bool {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -185,6 +185,7 @@
             self.effects.push(OwnerEffect::Renew(RenewOrder {
                 upstream: id.clone(),
                 address: entry.report.address.clone(),
+                failure_domain: entry.report.failure_domain.clone(),
                 epoch: self.epoch,
                 ack_number: entry.ack_number,
                 deadline_ms,
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonnotch_fleet::owner::{CommitOutcome, OwnerMachine, OwnerSettings};
+use lagoonnotch_fleet::owner::{CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings};
 use serde_json::json;
 use tokio::task::JoinHandle;
 use xtra::prelude::*;
@@ -17,6 +17,7 @@
 use crate::control::effect_runner::{EffectRunner, log_final_states, log_finished_runs};
 use crate::control::{ControlHandle, HostView, WaitingCounts};
 use crate::event::FleetEvent;
+use crate::forward::{ForwardPeer, RenewalForwarder, SettledRenewal};
 use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, PeerClients, PeerInfo, SubmissionLookup};
 use crate::ports::{PlatformPorts, RenewOutcome};
@@ -49,6 +50,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PeerEntry {
     pub info: PeerInfo,
+    pub failure_domain: Arc<str>,
     /// When the last heartbeat arrived.
     pub heartbeat_at: u64,
 }
@@ -61,6 +63,7 @@
     view: HostView,
     metrics: Arc<FleetMetrics>,
     runner: EffectRunner,
+    forwarder: RenewalForwarder,
     address: Address<Self>,
     ownership: Option<ActiveOwnership>,
     /// Highest epoch for which this host was asked to step down; it rejects grants of lower epochs.
@@ -85,6 +88,7 @@
         metrics: Arc<FleetMetrics>,
         ports: PlatformPorts,
         clients: PeerClients,
+        forwarder: RenewalForwarder,
     ) -> ControlHandle {
         let (address, mailbox) = Mailbox::unbounded();
         let handle = ControlHandle::new(address.clone());
@@ -101,6 +105,7 @@
             view,
             metrics,
             runner,
+            forwarder,
             address,
             ownership: None,
             highest_successor_epoch: 0,
@@ -141,13 +146,29 @@
         recent.chain([self.host.clone()]).collect()
     }
 
+    /// Returns the hosts that may send renewals.
+    fn forward_peers(&self, now: u64) -> Vec<ForwardPeer> {
+        let recent = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS);
+        recent
+            .map(|(host, peer)| ForwardPeer {
+                host: host.clone(),
+                address: peer.info.address.clone(),
+                failure_domain: peer.failure_domain.clone(),
+                processor_milli: peer.info.processor_milli,
+            })
+            .collect()
+    }
+
     /// Ticks the owner; `requested_at` is when the tick was requested. Every message sent before
     /// that has been processed.
     fn tick(&mut self, requested_at: u64) {
         let (now, unix) = (now_ms(), unix_ms());
         self.last_tick_at = now;
         let outdated = now >= self.query_hosts_set_at + QUERY_HOST_UPDATE_MS;
-        let query_hosts = outdated.then(|| self.query_hosts(now));
+        let hosts = outdated.then(|| (self.query_hosts(now), self.forward_peers(now)));
         let Some(ownership) = &mut self.ownership else {
             return;
         };
@@ -156,9 +177,11 @@
             FleetEvent::StartsSuspended.emit(json!({"epoch": ownership.machine.epoch()}));
         }
         ownership.suspended = !may_act;
-        if let Some(hosts) = query_hosts {
+        if let Some((query_hosts, forward_peers)) = hosts {
             self.query_hosts_set_at = now;
-            ownership.machine.set_query_hosts(&hosts);
+            ownership.machine.set_query_hosts(&query_hosts);
+            let upstream_count = ownership.machine.upstream_count();
+            self.forwarder.update(now, &forward_peers, upstream_count);
         }
         ownership.machine.tick(now, unix, may_act);
         let valid_until = ownership.valid_until;
@@ -173,9 +196,33 @@
             });
         }
         for effect in ownership.machine.take_effects() {
+            let effect = match effect {
+                OwnerEffect::Renew(order) => match self.forwarder.enqueue(now, order) {
+                    Some(order) => OwnerEffect::Renew(order),
+                    None => continue,
+                },
+                effect => effect,
+            };
             self.runner.run(epoch, effect, &self.peers, valid_until);
         }
+        self.forwarder.check_overdue(now);
+        let retries = self.forwarder.take_retries();
+        self.metrics
+            .count_forwarded_renewals("retried", retries.len());
+        for order in retries {
+            let retry = OwnerEffect::Renew(order);
+            self.runner.run(epoch, retry, &self.peers, valid_until);
+        }
+        for batch in self.forwarder.take_batches(now, valid_until) {
+            self.metrics
+                .count_forwarded_renewals("forwarded", batch.batch.renewals.len());
+            self.runner.forward(batch, valid_until);
+        }
+        for (delegate, reason) in self.forwarder.take_lost_delegates() {
+            FleetEvent::DelegateGivenUp.emit(json!({"delegate": delegate, "reason": reason}));
+        }
         let due = ownership.machine.next_due_at(now, unix);
+        let due = due.min(self.forwarder.next_due_at());
         let (submissions, runs) = ownership.machine.counts();
         self.metrics.set_load(submissions, runs);
         let has_stepped_down = ownership.machine.has_stepped_down();
@@ -233,6 +280,7 @@
         }));
         machine.recover(now_ms(), unix_ms(), grant.recovered);
         self.query_hosts_set_at = 0;
+        self.forwarder.begin(grant.epoch);
         self.metrics.set_epoch(grant.epoch);
         self.view.set_owned_epoch(Some(grant.epoch));
         self.ownership = Some(ActiveOwnership {
@@ -289,20 +337,21 @@
                 ownership.valid_until = ownership.valid_until.max(valid_until);
             }
             ControlInput::RenewalFinished(order, sent_at, outcome) if order.epoch == epoch => {
-                match outcome {
-                    RenewOutcome::Answered(reply) => {
-                        log_finished_runs(
-                            &order.upstream,
-                            machine.last_finished_number(&order.upstream),
-                            &reply,
-                        );
-                        machine.on_renewed(now, sent_at, &order.upstream, &reply);
-                    }
-                    RenewOutcome::Fenced => machine.on_renewal_fenced(),
-                    RenewOutcome::OtherIncarnation => {
-                        machine.on_other_incarnation(now, &order.upstream, &order.address);
-                    }
-                    RenewOutcome::Failed => machine.on_renewal_failed(now, &order.upstream),
+                let renewal = SettledRenewal {
+                    order,
+                    handed_over_at: sent_at,
+                    outcome,
+                };
+                apply_renewal(machine, now, renewal);
+            }
+            ControlInput::RenewalsForwarded(batch) if batch.epoch == epoch => {
+                let (delegate, renewals) = (&batch.delegate, &batch.renewals);
+                self.forwarder
+                    .on_receipt(batch.received_at, delegate, renewals, batch.receipt);
+            }
+            ControlInput::RenewalsReported(report) => {
+                for renewal in self.forwarder.on_report(now, report) {
+                    apply_renewal(machine, now, renewal);
                 }
             }
             ControlInput::StartFinished(order, outcome) if order.epoch == epoch => {
@@ -331,6 +380,23 @@
     }
 }
 
+/// Applies the outcome of a renewal.
+fn apply_renewal(machine: &mut OwnerMachine, now: u64, renewal: SettledRenewal) {
+    let order = renewal.order;
+    match renewal.outcome {
+        RenewOutcome::Answered(reply) => {
+            let last_number = machine.last_finished_number(&order.upstream);
+            log_finished_runs(&order.upstream, last_number, &reply);
+            machine.on_renewed(now, renewal.handed_over_at, &order.upstream, &reply);
+        }
+        RenewOutcome::Fenced => machine.on_renewal_fenced(),
+        RenewOutcome::OtherIncarnation => {
+            machine.on_other_incarnation(now, &order.upstream, &order.address);
+        }
+        RenewOutcome::Failed => machine.on_renewal_failed(now, &order.upstream),
+    }
+}
+
 impl Handler<TimedInput> for ControlActor {
     type Return = ();
 
@@ -366,6 +432,7 @@
                     address: request.address,
                     processor_milli: request.processor_milli,
                 },
+                failure_domain: request.failure_domain,
                 heartbeat_at: now_ms(),
             };
             self.peers.insert(request.host, peer);
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -7,6 +7,7 @@
     CommitBatch, CommitOutcome, QueryOutcome, RecoveredState, RenewOrder, StartOrder, StopOrder,
 };
 
+use crate::forward::{BatchReceipt, RenewalReport};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, SubmissionLookup};
 use crate::ports::RenewOutcome;
 
@@ -26,6 +27,21 @@
 /// A parsed `NewSubmission`: the record, and the revision at which it was created.
 pub type AcceptedSubmission = (Arc<SubmissionRecord>, u64);
 
+/// What became of a batch of renewals.
+#[derive(Debug)]
+pub struct ForwardedBatch {
+    /// Epoch of the owner that forwarded it.
+    pub epoch: u64,
+    /// Name of the delegate.
+    pub delegate: Arc<str>,
+    /// Numbers of the renewals.
+    pub renewals: Vec<u64>,
+    /// The delegate's receipt; `None` if there was none in time.
+    pub receipt: Option<BatchReceipt>,
+    /// When the receipt arrived, in milliseconds of the host's clock.
+    pub received_at: u64,
+}
+
 /// An input to the control actor.
 #[derive(Debug)]
 pub enum ControlInput {
@@ -59,6 +75,10 @@
     },
     /// A lease renewal finished; carries the order, the time at which it was sent, and the outcome.
     RenewalFinished(RenewOrder, u64, RenewOutcome),
+    /// A batch of renewals was received by a delegate, or was lost.
+    RenewalsForwarded(ForwardedBatch),
+    /// A delegate reported outcomes of renewals.
+    RenewalsReported(RenewalReport),
     /// A start order finished; carries the order and the outcome.
     StartFinished(StartOrder, StartOutcome),
     /// A stop order finished; carries the order and the outcome.
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -12,8 +12,9 @@
 
 use crate::clock::now_ms;
 use crate::control::control_actor::PeerEntry;
-use crate::control::{ControlHandle, ControlInput};
+use crate::control::{ControlHandle, ControlInput, ForwardedBatch};
 use crate::event::FleetEvent;
+use crate::forward::BatchOrder;
 use crate::metrics::{FleetMetrics, WorkKind, measured, timer_delay_ms};
 use crate::peer::PeerClients;
 use crate::ports::{PlatformPorts, PolicyRequest, RenewOutcome};
@@ -85,6 +86,38 @@
         }
     }
 
+    /// Sends a batch of renewals to a delegate, unless `valid_until` has passed.
+    pub fn forward(&self, batch: BatchOrder, valid_until: u64) {
+        let runner = self.clone();
+        let forwarding = async move { runner.forward_batch(batch, valid_until).await };
+        tokio::spawn(measured(WorkKind::Forwards, forwarding));
+    }
+
+    async fn forward_batch(&self, order: BatchOrder, valid_until: u64) {
+        let epoch = order.batch.epoch;
+        let numbers = order.batch.renewals.iter().map(|renewal| renewal.number);
+        let renewals: Vec<_> = numbers.collect();
+        let receipt = if now_ms() < valid_until {
+            let reply = self
+                .clients
+                .forward_renewals(&order.address, order.batch)
+                .await;
+            reply.ok()
+        } else {
+            None
+        };
+        let batch = ForwardedBatch {
+            epoch,
+            delegate: order.delegate,
+            renewals,
+            receipt,
+            received_at: now_ms(),
+        };
+        self.control
+            .send(ControlInput::RenewalsForwarded(batch))
+            .await;
+    }
+
     fn report_crash(&self, report: &CrashReport) {
         self.metrics.count_crash(report.scope.label());
         let tasks: Vec<_> = report.tasks.iter().map(ToString::to_string).collect();
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -8,5 +8,5 @@
 
 pub use control_actor::ControlActor;
 pub use control_handle::ControlHandle;
-pub use control_messages::{AcceptedSubmission, ControlInput, OwnershipGrant};
+pub use control_messages::{AcceptedSubmission, ControlInput, ForwardedBatch, OwnershipGrant};
 pub use host_view::{HostView, MAX_REPORTED_COUNT_AGE_MS, OwnerInfo, WaitingCount, WaitingCounts};
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -18,6 +18,7 @@
 use crate::daemon::work_report::report_work;
 use crate::entry::{EntryRequest, EntryResponse, EntryService, OwnerNotifier};
 use crate::event::{FleetEvent, set_host};
+use crate::forward::{RenewalDelegate, RenewalForwarder};
 use crate::http::{HttpRequest, HttpResponse, RequestHandler, ServerLimits, serve_http};
 use crate::metrics::FleetMetrics;
 use crate::ownership::OwnershipClaimer;
@@ -82,6 +83,8 @@
             store: hedged_store(&ports.store, &context),
             ..ports.clone()
         };
+        let forwarder =
+            RenewalForwarder::new(settings.host.clone(), settings.peer_address().into());
         let control = ControlActor::start(
             settings.host.clone(),
             owner_settings(settings),
@@ -89,12 +92,14 @@
             metrics.clone(),
             hedged.clone(),
             clients.clone(),
+            forwarder,
         );
         let server = PeerServer {
             control: control.clone(),
             store: ports.store.clone(),
             view: view.clone(),
             upstream: ports.upstream.clone(),
+            delegate: RenewalDelegate::new(view.clone(), ports.upstream.clone(), clients.clone()),
         };
         tokio::spawn(server.serve(peers));
         let (limit_sender, limits) = watch::channel(INITIAL_LIMITS);
@@ -108,13 +113,11 @@
         };
         tokio::spawn(reader.run());
         let claimer = OwnershipClaimer::new(
-            settings.host.clone(),
-            settings.peer_address().into(),
+            settings,
             ports,
             clients.clone(),
             view.clone(),
             control.clone(),
-            settings.processor_milli(),
         );
         tokio::spawn(claimer.run());
         tokio::spawn(report_work(view.clone(), metrics.clone()));
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -123,6 +123,8 @@
     /// The directory entry of a draining upstream disappeared: either the upstream has left, or the
     /// entry may have expired and the runs stay allocated.
     DrainingUpstreamUnlisted = 1067, Info;
+    /// A delegate gave no receipt or no outcome in time; the owner sends its renewals itself.
+    DelegateGivenUp = 1068, Warn;
     /// A commit of progress failed or its outcome is unknown.
     CommitFailed = 1070, Warn;
     /// A submission's final state was stored.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod event;
 pub mod explain;
+pub mod forward;
 pub mod http;
 pub mod metrics;
 pub mod ownership;
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -75,6 +75,7 @@
     stops: Family<ReasonLabel, Counter>,
     commits: Family<KindLabel, Counter>,
     crashes: Family<ScopeLabel, Counter>,
+    forwarded_renewals: Family<KindLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
     owner_epoch: Gauge<u64, AtomicU64>,
@@ -92,6 +93,7 @@
             stops: Family::default(),
             commits: Family::default(),
             crashes: Family::default(),
+            forwarded_renewals: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
             owner_epoch: Gauge::default(),
@@ -124,6 +126,11 @@
             "Upstreams that crashed while tasks were running there",
             self.crashes.clone(),
         );
+        registry.register(
+            "forwarded_renewals",
+            "Lease renewals forwarded to other hosts",
+            self.forwarded_renewals.clone(),
+        );
         registry.register(
             "active_submissions",
             "Submissions without a final state, at the owner",
@@ -168,6 +175,14 @@
         self.orders.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts lease renewals that were forwarded, or were forwarded and then sent directly.
+    pub fn count_forwarded_renewals(&self, kind: &'static str, count: usize) {
+        let label = KindLabel { kind };
+        self.forwarded_renewals
+            .get_or_create(&label)
+            .inc_by(count as u64);
+    }
+
     /// Counts a stop order, by reason.
     pub fn count_stop(&self, reason: &'static str) {
         self.stops.get_or_create(&ReasonLabel { reason }).inc();
--- a/crates/host/src/metrics/work_meter.rs
+++ b/crates/host/src/metrics/work_meter.rs
@@ -33,11 +33,15 @@
     Peers,
     /// Reading and writing of the connections of HTTP clients.
     Connections,
+    /// Batches of renewals that the owner forwards.
+    Forwards,
+    /// Renewals that this host sends for the owner.
+    Delegated,
 }
 
 impl WorkKind {
     /// All kinds.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::Callers,
         Self::Polling,
         Self::Decisions,
@@ -48,6 +52,8 @@
         Self::Commits,
         Self::Peers,
         Self::Connections,
+        Self::Forwards,
+        Self::Delegated,
     ];
 
     /// Returns the label of the kind in metrics and log lines.
@@ -64,6 +70,8 @@
             Self::Commits => "commits",
             Self::Peers => "peers",
             Self::Connections => "connections",
+            Self::Forwards => "forwards",
+            Self::Delegated => "delegated",
         }
     }
 }
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -21,6 +21,7 @@
 use crate::ownership::{ClaimEvidence, claim_reason};
 use crate::peer::PeerClients;
 use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteOutcome, WriteRequest};
+use crate::settings::FleetSettings;
 use crate::store::{
     OWNER_KEY, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, commit_key, read_recovery_state,
 };
@@ -66,6 +67,8 @@
     pub host: Arc<str>,
     /// Address for calls between hosts.
     pub address: Arc<str>,
+    /// Failure domain of the host.
+    pub failure_domain: Arc<str>,
     /// Access to the platform.
     pub ports: PlatformPorts,
     /// RPC clients of the other hosts.
@@ -91,25 +94,24 @@
     /// Creates a claimer for a host.
     #[must_use]
     pub fn new(
-        host: Arc<str>,
-        address: Arc<str>,
+        settings: &FleetSettings,
         ports: PlatformPorts,
         clients: PeerClients,
         view: HostView,
         control: ControlHandle,
-        processor_milli: u32,
     ) -> Self {
         let (observation_sender, observation) = watch::channel(OwnerObservation::default());
         let (health_sender, health) = watch::channel(OwnerHealth::default());
         Self {
             context: OwnershipContext {
-                host,
-                address,
+                host: settings.host.clone(),
+                address: settings.peer_address().into(),
+                failure_domain: settings.failure_domain.clone(),
                 ports,
                 clients,
                 view,
                 control,
-                processor_milli,
+                processor_milli: settings.processor_milli(),
                 observation,
                 observation_sender: Arc::new(observation_sender),
                 health,
--- a/crates/host/src/peer/peer_clients.rs
+++ b/crates/host/src/peer/peer_clients.rs
@@ -9,6 +9,7 @@
 use tarpc::{client, context};
 use tokio::time::timeout;
 
+use crate::forward::{BatchReceipt, RenewalBatch, RenewalReport};
 use crate::peer::{
     HeartbeatReply, HeartbeatRequest, NewSubmission, PeerServiceClient, RelayedDecision,
     SubmissionLookup,
@@ -24,6 +25,9 @@
 /// Timeout of a call that the peer handles without the store and the policy service.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Timeout of a batch of renewals, with the time to connect; the owner sends them itself afterwards.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Timeout of a store request that a peer relays.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -207,6 +211,48 @@
         self.check_reply(address, reply)
     }
 
+    /// Forwards renewals to a delegate.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer could not be reached or did not reply in time.
+    pub async fn forward_renewals(
+        &self,
+        address: &Arc<str>,
+        batch: RenewalBatch,
+    ) -> Result<BatchReceipt, PeerError> {
+        let forwarding = async {
+            let client = self.client(address).await?;
+            let reply = client
+                .forward_renewals(context_with_timeout(FORWARD_TIMEOUT), batch)
+                .await;
+            self.check_reply(address, reply)
+        };
+        timeout(FORWARD_TIMEOUT, forwarding)
+            .await
+            .unwrap_or_else(|_| {
+                self.lock().remove(address);
+                Err(PeerError::NoReply)
+            })
+    }
+
+    /// Reports outcomes of forwarded renewals to the owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer could not be reached or did not reply in time.
+    pub async fn report_renewals(
+        &self,
+        address: &Arc<str>,
+        report: RenewalReport,
+    ) -> Result<(), PeerError> {
+        let client = self.client(address).await?;
+        let reply = client
+            .report_renewals(context_with_timeout(CALL_TIMEOUT), report)
+            .await;
+        self.check_reply(address, reply)
+    }
+
     async fn client(&self, address: &Arc<str>) -> Result<PeerServiceClient, PeerError> {
         if let Some(client) = self.lock().get(address) {
             return Ok(client.clone());
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -14,7 +14,8 @@
 use tarpc::tokio_util::codec::length_delimited::LengthDelimitedCodec;
 use tokio::net::TcpListener;
 
-use crate::control::{ControlHandle, HostView};
+use crate::control::{ControlHandle, ControlInput, HostView};
+use crate::forward::{BatchReceipt, RenewalBatch, RenewalDelegate, RenewalReport};
 use crate::metrics::{WorkKind, measured};
 use crate::peer::{
     HeartbeatReply, HeartbeatRequest, NewSubmission, PeerService, RelayedDecision, SubmissionLookup,
@@ -41,6 +42,8 @@
     pub view: HostView,
     /// Port to the upstreams and the policy service; only the policy query is used here.
     pub upstream: UpstreamPort,
+    /// Sends renewals for the owner.
+    pub delegate: RenewalDelegate,
 }
 
 impl PeerServer {
@@ -142,4 +145,14 @@
             QueryOutcome::Failed => None,
         }
     }
+
+    async fn forward_renewals(self, _: Context, batch: RenewalBatch) -> BatchReceipt {
+        self.delegate.accept(batch)
+    }
+
+    async fn report_renewals(self, _: Context, report: RenewalReport) {
+        self.control
+            .send(ControlInput::RenewalsReported(report))
+            .await;
+    }
 }
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -6,6 +6,7 @@
 use lagoonnotch_fleet::model::SubmissionState;
 use serde::{Deserialize, Serialize};
 
+use crate::forward::{BatchReceipt, RenewalBatch, RenewalReport};
 use crate::ports::{ListPage, ListRequest, StoreError, StoreItem, WriteOutcome, WriteRequest};
 
 /// Heartbeat that a host sends to the owner at intervals.
@@ -15,8 +16,10 @@
     pub host: Arc<str>,
     /// Address for calls between hosts.
     pub address: Arc<str>,
-    /// Whether the owner may send policy queries to the host and list it as a peer; false while the
-    /// host is stopping.
+    /// Failure domain of the host.
+    pub failure_domain: Arc<str>,
+    /// Whether the owner may send policy queries and renewals to the host and list it as a peer;
+    /// false while the host is stopping.
     pub accepts_work: bool,
     /// CPU capacity of the host, in thousandths of a core.
     pub processor_milli: u32,
@@ -122,4 +125,10 @@
         upstreams: Vec<Arc<str>>,
         timeout_ms: u64,
     ) -> Option<RelayedDecision>;
+
+    /// Sends renewals on behalf of the owner. The receipt does not wait for their outcomes.
+    async fn forward_renewals(batch: RenewalBatch) -> BatchReceipt;
+
+    /// Reports outcomes of forwarded renewals to the owner.
+    async fn report_renewals(report: RenewalReport);
 }
--- a/crates/host/src/ports/upstream_port.rs
+++ b/crates/host/src/ports/upstream_port.rs
@@ -4,11 +4,12 @@
 
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{QueryOutcome, RenewOrder, StartOrder, StopOrder};
+use serde::{Deserialize, Serialize};
 
 use crate::ports::Port;
 
 /// Outcome of a lease renewal.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RenewOutcome {
     /// The upstream responded.
     Answered(RenewReply),
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -6,6 +6,7 @@
 mod events;
 mod explain;
 mod fake_store;
+mod forwarding;
 mod notices;
 mod owners;
 mod relay;
