--- a/crates/host/src/forward/renewal_forwarder.rs
+++ b/crates/host/src/forward/renewal_forwarder.rs
@@ -100,7 +100,6 @@
     host: Arc<str>,
     /// Address to which delegates report.
     address: Arc<str>,
-    direct_upstreams_per_core: usize,
     epoch: u64,
     is_needed: bool,
     table: DelegateTable,
@@ -113,6 +112,7 @@
     direct_until: HashMap<Arc<str>, u64>,
     /// Renewals that the owner must send itself now.
     retries: Vec<RenewOrder>,
+    /// Delegates that were given up, each with the reason, until they are logged.
     lost_delegates: Vec<(Arc<str>, &'static str)>,
 }
 
@@ -123,7 +123,6 @@
         Self {
             host,
             address,
-            direct_upstreams_per_core: DIRECT_UPSTREAMS_PER_CORE,
             epoch: 0,
             is_needed: false,
             table: DelegateTable::default(),
@@ -157,7 +156,7 @@
         let own = peers.iter().find(|peer| peer.host == self.host);
         let own_milli = own.map_or(0, |peer| peer.processor_milli as usize);
         self.is_needed =
-            own_milli > 0 && upstream_count * 1000 > self.direct_upstreams_per_core * own_milli;
+            own_milli > 0 && upstream_count * 1000 > DIRECT_UPSTREAMS_PER_CORE * own_milli;
         self.direct_until.retain(|_, until| *until > now);
         let others: Vec<_> = peers
             .iter()
