--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use lagoonnotch::model::ResourceSize;
+use serde::{Deserialize, Serialize};
 
 /// The latest report that an upstream wrote about itself to the directory, the store's list of
 /// upstreams.
@@ -49,7 +50,7 @@
 }
 
 /// A run that is present on an upstream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RunReport {
     /// Task name.
     pub task: Arc<str>,
@@ -65,7 +66,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RunOutcome {
     /// It completed its work.
     Done,
@@ -82,7 +83,7 @@
 }
 
 /// A finished run, listed by the upstream until it is acknowledged.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct FinishedRun {
     /// Sequence number of the finished run in this incarnation of the upstream.
     pub number: u64,
@@ -97,7 +98,7 @@
 }
 
 /// Reply to a renewal of an upstream's leases.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RenewReply {
     /// Current reading of the upstream's clock, in milliseconds.
     pub clock_ms: u64,
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -15,7 +15,8 @@
 use tokio::net::TcpListener;
 
 use crate::clock::now_ms;
-use crate::control::{ControlHandle, HostView};
+use crate::control::{ControlHandle, ControlInput, HostView};
+use crate::forward::{BatchReceipt, RenewalBatch, RenewalDelegate, RenewalReport};
 use crate::metrics::{WorkKind, measured};
 use crate::peer::{
     AgedRequest, HeartbeatReply, HeartbeatRequest, NewSubmission, PeerService, RelayedDecision,
@@ -43,6 +44,8 @@
     pub view: HostView,
     /// Port to the upstreams and the policy service; only the policy query is used here.
     pub upstream: UpstreamPort,
+    /// Sends renewals for the owner.
+    pub delegate: RenewalDelegate,
 }
 
 impl PeerServer {
@@ -148,4 +151,14 @@
     async fn revision_requests(self, _: Context) -> Vec<AgedRequest> {
         self.view.revision_log().recent_requests(now_ms())
     }
+
+    async fn forward_renewals(self, _: Context, batch: RenewalBatch) -> BatchReceipt {
+        self.delegate.accept(batch)
+    }
+
+    async fn report_renewals(self, _: Context, report: RenewalReport) {
+        self.control
+            .send(ControlInput::RenewalsReported(report))
+            .await;
+    }
 }
--- a/crates/host/tests/host/api_keys.rs
+++ b/crates/host/tests/host/api_keys.rs
@@ -12,6 +12,7 @@
 use lagoonnotch_host::entry::{
     EntryOperation, EntryRequest, EntryResponse, EntryService, OwnerNotifier, RefusalReason,
 };
+use lagoonnotch_host::forward::RenewalForwarder;
 use lagoonnotch_host::metrics::FleetMetrics;
 use lagoonnotch_host::peer::PeerClients;
 
@@ -71,6 +72,7 @@
         metrics.clone(),
         ports.clone(),
         clients.clone(),
+        RenewalForwarder::new("h1".into(), "h1:1".into()),
     );
     let notifier = OwnerNotifier::start(view.clone(), control.clone(), clients.clone());
     EntryService::new(
--- a/crates/host/tests/host/incomplete_counts.rs
+++ b/crates/host/tests/host/incomplete_counts.rs
@@ -10,6 +10,7 @@
 use lagoonnotch_host::control::{
     ControlActor, ControlHandle, ControlInput, HostView, OwnershipGrant, WaitingCount,
 };
+use lagoonnotch_host::forward::RenewalForwarder;
 use lagoonnotch_host::peer::PeerClients;
 
 use crate::fixtures::idle_ports;
@@ -51,6 +52,7 @@
         Arc::default(),
         idle_ports(),
         PeerClients::default(),
+        RenewalForwarder::new("host-1".into(), "host-1:1".into()),
     );
     let is_applied = view.set_config(now_ms(), 1, Some(config()), BTreeSet::new());
     assert!(is_applied, "the configuration");
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod fake_store;
 mod fixtures;
+mod forwarding;
 mod incomplete_counts;
 mod notices;
 mod owners;
