Ask hosts for their failure domains instead of extending heartbeats

What operators would see: in a rolling upgrade hosts of the earlier and the new version can't read each other's heartbeats, since the encoding has no field names; an owner of one version passes for lost at hosts of the other, which claim. Cause: forwarding of renewals had added the failure domain to the heartbeat. Change: heartbeats have their earlier form. An owner that needs delegates asks hosts for their failure domains, with a call that hosts of the earlier version do not answer, so that these are no delegates. Evidence: found by reading before the change landed. A test holds the form of the request; it does not build on the code before. No play with two versions was run.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -34,6 +34,13 @@
 /// Time between two updates of the hosts that may query the policy service, in milliseconds.
 const QUERY_HOST_UPDATE_MS: u64 = 200;
 
+/// Time between two requests for the failure domain of a host, in milliseconds. A host of an earlier
+/// version answers none, and closes the connection.
+const DOMAIN_RETRY_MS: u64 = 10_000;
+
+/// Maximum number of hosts that are asked for their failure domains at a time.
+const MAX_DOMAINS_ASKED: usize = 16;
+
 /// Time between two counts of the waiting submissions, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 250;
 
@@ -85,7 +92,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct PeerEntry {
     pub info: PeerInfo,
-    pub failure_domain: Arc<str>,
+    /// Failure domain of the host; `None` until it was asked for.
+    pub failure_domain: Option<Arc<str>>,
+    /// When the host was last asked for its failure domain; 0 before the first time.
+    pub domain_asked_at: u64,
     /// When the last heartbeat arrived.
     pub heartbeat_at: u64,
 }
@@ -181,22 +191,40 @@
         recent.chain([self.host.clone()]).collect()
     }
 
-    /// Returns the hosts that may send renewals.
+    /// Returns this host and those that may send renewals: their failure domains are known.
     fn forward_peers(&self, now: u64) -> Vec<ForwardPeer> {
         let recent = self
             .peers
             .iter()
             .filter(|(_, peer)| now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS);
-        recent
+        let usable =
+            recent.filter(|(host, peer)| **host == self.host || peer.failure_domain.is_some());
+        usable
             .map(|(host, peer)| ForwardPeer {
                 host: host.clone(),
                 address: peer.info.address.clone(),
-                failure_domain: peer.failure_domain.clone(),
+                failure_domain: peer.failure_domain.clone().unwrap_or_default(),
                 processor_milli: peer.info.processor_milli,
             })
             .collect()
     }
 
+    /// Asks some of the hosts whose failure domains are not known for them.
+    fn ask_failure_domains(&mut self, now: u64) {
+        let host = &self.host;
+        let unknown = self.peers.iter_mut().filter(|(name, peer)| {
+            *name != host
+                && peer.failure_domain.is_none()
+                && now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS
+                && now >= peer.domain_asked_at + DOMAIN_RETRY_MS
+        });
+        for (name, peer) in unknown.take(MAX_DOMAINS_ASKED) {
+            peer.domain_asked_at = now;
+            self.runner
+                .read_failure_domain(name.clone(), peer.info.address.clone());
+        }
+    }
+
     /// Ticks the owner; `requested_at` is when the tick was requested. Every message sent before
     /// that has been processed.
     fn tick(&mut self, requested_at: u64) {
@@ -204,6 +232,9 @@
         self.last_tick_at = now;
         let outdated = now >= self.query_hosts_set_at + QUERY_HOST_UPDATE_MS;
         let hosts = outdated.then(|| (self.query_hosts(now), self.forward_peers(now)));
+        if outdated && self.ownership.is_some() && self.forwarder.needs_delegates() {
+            self.ask_failure_domains(now);
+        }
         let Some(ownership) = &mut self.ownership else {
             return;
         };
@@ -348,6 +379,13 @@
                 }
                 return;
             }
+            ControlInput::FailureDomainRead(host, address, domain) => {
+                let peer = self.peers.get_mut(&host);
+                if let Some(peer) = peer.filter(|peer| peer.info.address == address) {
+                    peer.failure_domain = Some(domain);
+                }
+                return;
+            }
             _ => {}
         }
         let Some(ownership) = &mut self.ownership else {
@@ -477,12 +515,15 @@
     /// Records that a host has sent a heartbeat.
     fn record_heartbeat(&mut self, request: HeartbeatRequest) {
         if request.accepts_work {
+            let earlier = self.peers.remove(&request.host);
+            let earlier = earlier.filter(|peer| peer.info.address == request.address);
             let peer = PeerEntry {
                 info: PeerInfo {
                     address: request.address,
                     processor_milli: request.processor_milli,
                 },
-                failure_domain: request.failure_domain,
+                domain_asked_at: earlier.as_ref().map_or(0, |peer| peer.domain_asked_at),
+                failure_domain: earlier.and_then(|peer| peer.failure_domain),
                 heartbeat_at: now_ms(),
             };
             self.peers.insert(request.host, peer);
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -85,6 +85,8 @@
     },
     /// A lease renewal finished; carries the order, the time at which it was sent, and the outcome.
     RenewalFinished(RenewOrder, u64, RenewOutcome),
+    /// A host told its failure domain; carries its name and address.
+    FailureDomainRead(Arc<str>, Arc<str>, Arc<str>),
     /// A batch of renewals was received by a delegate, or was lost.
     RenewalsForwarded(ForwardedBatch),
     /// A delegate reported outcomes of renewals.
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -86,6 +86,23 @@
         }
     }
 
+    /// Asks a host for its failure domain.
+    pub fn read_failure_domain(&self, host: Arc<str>, address: Arc<str>) {
+        let runner = self.clone();
+        let reading = async move {
+            match runner.clients.failure_domain(&address).await {
+                Ok(domain) => {
+                    let input = ControlInput::FailureDomainRead(host, address, domain);
+                    runner.control.send(input).await;
+                }
+                Err(error) => {
+                    log::debug!(target: "lagoonnotch", "failed to read the failure domain of {host}: {error:?}");
+                }
+            }
+        };
+        tokio::spawn(measured(WorkKind::Forwards, reading));
+    }
+
     /// Sends a batch of renewals to a delegate, unless `valid_until` has passed.
     pub fn forward(&self, batch: BatchOrder, valid_until: u64) {
         let runner = self.clone();
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -99,6 +99,7 @@
             forwarder,
         );
         let server = PeerServer {
+            failure_domain: settings.failure_domain.clone(),
             control: control.clone(),
             store: ports.store.clone(),
             view: view.clone(),
--- a/crates/host/src/forward/renewal_forwarder.rs
+++ b/crates/host/src/forward/renewal_forwarder.rs
@@ -166,6 +166,12 @@
         self.table.update(now, &others, upstream_count);
     }
 
+    /// Returns whether the owner has more upstreams than its processor carries.
+    #[must_use]
+    pub fn needs_delegates(&self) -> bool {
+        self.is_needed
+    }
+
     /// Queues a renewal for a delegate. Returns it if the owner must send it itself.
     pub fn enqueue(&mut self, now: u64, order: RenewOrder) -> Option<RenewOrder> {
         let is_direct = |until: &u64| *until > now;
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -146,7 +146,6 @@
             let request = HeartbeatRequest {
                 host: self.host.clone(),
                 address: self.address.clone(),
-                failure_domain: self.failure_domain.clone(),
                 accepts_work: !self.view.is_stopping(),
                 processor_milli: self.processor_milli,
                 peers_digest: self.view.peers_digest(),
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -65,8 +65,6 @@
     pub host: Arc<str>,
     /// Address for calls between hosts.
     pub address: Arc<str>,
-    /// Failure domain of the host.
-    pub failure_domain: Arc<str>,
     /// Access to the platform.
     pub ports: PlatformPorts,
     /// RPC clients of the other hosts.
@@ -104,7 +102,6 @@
             context: OwnershipContext {
                 host: settings.host.clone(),
                 address: settings.peer_address().into(),
-                failure_domain: settings.failure_domain.clone(),
                 ports,
                 clients,
                 view,
--- a/crates/host/src/peer/peer_clients.rs
+++ b/crates/host/src/peer/peer_clients.rs
@@ -229,6 +229,19 @@
         self.check_reply(address, reply)
     }
 
+    /// Reads the failure domain of a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer could not be reached or did not reply in time.
+    pub async fn failure_domain(&self, address: &Arc<str>) -> Result<Arc<str>, PeerError> {
+        let client = self.client(address).await?;
+        let reply = client
+            .failure_domain(context_with_timeout(CALL_TIMEOUT))
+            .await;
+        self.check_reply(address, reply)
+    }
+
     /// Forwards renewals to a delegate.
     ///
     /// # Errors
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -36,6 +36,8 @@
 /// Handles the calls of other hosts.
 #[derive(Clone)]
 pub struct PeerServer {
+    /// Failure domain of the host.
+    pub failure_domain: Arc<str>,
     /// Handle of the control actor.
     pub control: ControlHandle,
     /// Direct access to the store.
@@ -152,6 +154,10 @@
         self.view.revision_log().recent_requests(now_ms())
     }
 
+    async fn failure_domain(self, _: Context) -> Arc<str> {
+        self.failure_domain
+    }
+
     async fn forward_renewals(self, _: Context, batch: RenewalBatch) -> BatchReceipt {
         self.delegate.accept(batch)
     }
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -16,8 +16,6 @@
     pub host: Arc<str>,
     /// Address for calls between hosts.
     pub address: Arc<str>,
-    /// Failure domain of the host.
-    pub failure_domain: Arc<str>,
     /// Whether the owner may send policy queries and renewals to the host and list it as a peer;
     /// false while the host is stopping.
     pub accepts_work: bool,
@@ -139,6 +137,9 @@
     /// versions do not know this call, so it must stay after the ones above.
     async fn revision_requests() -> Vec<AgedRequest>;
 
+    /// Returns the failure domain of the host.
+    async fn failure_domain() -> Arc<str>;
+
     /// Sends renewals on behalf of the owner. The receipt does not wait for their outcomes.
     async fn forward_renewals(batch: RenewalBatch) -> BatchReceipt;
 
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -14,6 +14,7 @@
 mod incomplete_counts;
 mod notices;
 mod owners;
+mod peer_messages;
 mod relay;
 mod revisions;
 mod settings;
