Take the report interval of upstreams from the settings

What callers could see: tasks that run twice at an installation whose upstreams report more often than every 1.5 s: there an entry expires within two of the assumed intervals, and the expired entry of a draining upstream that is cut off from the store passes for a departure. Cause: the owner's `report_interval_ms` was a constant, and the search for departures at a takeover uses it too. Change: the settings carry it, from the platform's; without it, 1,500 ms as before. `report_interval_of_the_platform_is_used` does not build on the code before.

--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -166,12 +166,15 @@
         .wrap_err_with(|| format!("failed to bind {address}"))
 }
 
-fn owner_settings(settings: &FleetSettings) -> OwnerSettings {
+/// Returns the owner's settings that follow from those of its host.
+#[must_use]
+pub fn owner_settings(settings: &FleetSettings) -> OwnerSettings {
     let defaults = OwnerSettings::default();
     OwnerSettings {
         task_lease_ms: defaults
             .task_lease_ms
             .min(settings.bounds.task_lease_max_ms),
+        report_interval_ms: settings.report_interval_ms,
         ..defaults
     }
 }
--- a/crates/host/src/daemon/mod.rs
+++ b/crates/host/src/daemon/mod.rs
@@ -5,4 +5,4 @@
 mod store_relay;
 mod work_report;
 
-pub use fleet_daemon::{ApiCodec, FleetDaemon};
+pub use fleet_daemon::{ApiCodec, FleetDaemon, owner_settings};
--- a/crates/host/src/ownership/departures.rs
+++ b/crates/host/src/ownership/departures.rs
@@ -12,7 +12,7 @@
 use futures::future::join_all;
 use futures::{StreamExt, stream};
 use lagoonnotch_fleet::model::DirectoryRead;
-use lagoonnotch_fleet::owner::{DepartedUpstream, OwnerSettings, RosterEntry};
+use lagoonnotch_fleet::owner::{DepartedUpstream, RosterEntry};
 use tokio::time::timeout;
 
 use crate::clock::now_ms;
@@ -97,8 +97,13 @@
         };
         let history = (self.ports.store.watch)(request).await.ok()?;
         let log = self.view.revision_log();
-        let max_report_age_ms =
-            departure_report_age_ms(&history.items, &key, log, &self.ports.parse_report)?;
+        let max_report_age_ms = departure_report_age_ms(
+            &history.items,
+            &key,
+            log,
+            &self.ports.parse_report,
+            self.report_interval_ms,
+        )?;
         Some(DepartedUpstream {
             id,
             max_report_age_ms,
@@ -107,13 +112,15 @@
 }
 
 /// Returns the maximum age that the last report of an upstream had when its entry was deleted, if
-/// its history shows that it has left; `None` if the history shows nothing.
+/// its history shows that it has left; `None` if the history shows nothing. Upstreams report every
+/// `report_interval_ms` milliseconds.
 #[must_use]
 pub fn departure_report_age_ms(
     history: &[StoreItem],
     key: &str,
     log: &RevisionLog,
     parse_report: &ReportParser,
+    report_interval_ms: u64,
 ) -> Option<u64> {
     let mut newest_first = history.iter().rev().filter(|item| item.key == key);
     let (deletion, last_report) = (newest_first.next()?, newest_first.next()?);
@@ -124,6 +131,5 @@
     let written_after = log.written_after(last_report.revision)?;
     let deleted_by = log.written_by(deletion.revision)?;
     let age_ms = deleted_by.saturating_sub(written_after);
-    let interval_ms = OwnerSettings::default().report_interval_ms;
-    (report.draining && age_ms < 2 * interval_ms).then_some(age_ms)
+    (report.draining && age_ms < 2 * report_interval_ms).then_some(age_ms)
 }
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -73,6 +73,8 @@
     pub view: HostView,
     /// Handle of the control actor.
     pub control: ControlHandle,
+    /// Interval between two directory reports of an upstream, in milliseconds.
+    pub report_interval_ms: u64,
     /// CPU capacity of the host, in thousandths of a core; larger hosts claim first.
     pub processor_milli: u32,
     pub(super) observation: watch::Receiver<OwnerObservation>,
@@ -106,6 +108,7 @@
                 clients,
                 view,
                 control,
+                report_interval_ms: settings.report_interval_ms,
                 processor_milli: settings.processor_milli(),
                 observation,
                 observation_sender: Arc::new(observation_sender),
--- a/crates/host/src/settings/fleet_settings.rs
+++ b/crates/host/src/settings/fleet_settings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use lagoonnotch_fleet::owner::OwnerSettings;
 use serde::Deserialize;
 
 /// Time bounds imposed by the platform.
@@ -38,12 +39,19 @@
     pub policy_address: Option<Arc<str>>,
     /// CPU capacity of the host, in cores (may be fractional).
     pub processor_share: f64,
+    /// Interval between two directory reports of an upstream, in milliseconds.
+    #[serde(default = "default_report_interval_ms")]
+    pub report_interval_ms: u64,
     /// Minimum lease that the store grants, in milliseconds.
     pub min_store_lease_ms: u64,
     /// Time bounds imposed by the platform.
     pub bounds: TimeBounds,
 }
 
+fn default_report_interval_ms() -> u64 {
+    OwnerSettings::default().report_interval_ms
+}
+
 /// Invalid settings.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
@@ -83,6 +91,9 @@
     if settings.peer_ports.0 == 0 || settings.peer_ports.0 > settings.peer_ports.1 {
         findings.push("peer_ports: the first must be above 0 and not above the last".to_owned());
     }
+    if settings.report_interval_ms == 0 {
+        findings.push("report_interval_ms: must be above 0".to_owned());
+    }
     if settings.bounds.grace_s < 1.0 {
         findings.push("bounds.grace_s: must be at least 1".to_owned());
     }
--- a/crates/host/tests/host/departures.rs
+++ b/crates/host/tests/host/departures.rs
@@ -10,6 +10,8 @@
 
 const KEY: &str = "directory/u0";
 
+const REPORT_INTERVAL_MS: u64 = 1500;
+
 /// Returns the write of a report at a revision; its value is `ready` or `draining`.
 fn written(key: &str, revision: u64, value: &str) -> StoreItem {
     StoreItem {
@@ -61,7 +63,13 @@
 }
 
 fn report_age_ms(history: &[StoreItem], deletion_seen_at: u64) -> Option<u64> {
-    departure_report_age_ms(history, KEY, &log(deletion_seen_at), &report_parser())
+    departure_report_age_ms(
+        history,
+        KEY,
+        &log(deletion_seen_at),
+        &report_parser(),
+        REPORT_INTERVAL_MS,
+    )
 }
 
 /// Guards against waiting for the leases of an upstream that announced its departure.
@@ -132,7 +140,7 @@
     log.record(20, 5000);
 
     log.add_peer_requests(4500, &peer_log.recent_requests(72_000));
-    let age_ms = departure_report_age_ms(&history, KEY, &log, &report_parser());
+    let age_ms = departure_report_age_ms(&history, KEY, &log, &report_parser(), REPORT_INTERVAL_MS);
 
     assert_eq!(age_ms, Some(2500));
 }
--- a/crates/host/tests/host/settings.rs
+++ b/crates/host/tests/host/settings.rs
@@ -1,5 +1,6 @@
 //! Parsing of valid and invalid settings.
 
+use lagoonnotch_host::daemon::owner_settings;
 use lagoonnotch_host::settings::read_settings;
 
 const VALID_SETTINGS: &str = r#"{
@@ -19,6 +20,20 @@
     assert_eq!(settings.policy_address, None);
 }
 
+/// Guards against taking an expired directory entry for a departure where upstreams report more often
+/// than usual.
+#[test]
+fn report_interval_of_the_platform_is_used() {
+    let text = VALID_SETTINGS.replacen('{', "{\"report_interval_ms\": 500,", 1);
+
+    let usual = read_settings(VALID_SETTINGS).expect("valid settings");
+    let frequent = read_settings(&text).expect("valid settings");
+
+    assert_eq!(usual.report_interval_ms, 1500);
+    assert_eq!(owner_settings(&usual).report_interval_ms, 1500);
+    assert_eq!(owner_settings(&frequent).report_interval_ms, 500);
+}
+
 /// A field added by a newer platform must not prevent the host from starting.
 #[test]
 fn unknown_fields_are_ignored() {
