--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -5,7 +5,7 @@
 //! remain for long queries: the scheduling order decides between the steps of one queue, but a queue
 //! with many steps, or with steps that query often, leaves hosts to the others that wait.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::owner::advice_load::QueryHostCounts;
@@ -14,12 +14,6 @@
 /// It covers several placement passes of a large fleet.
 const REFUSAL_VALIDITY_MS: u64 = 250;
 
-/// Time for which hosts stay free for as many short queries as were in flight, in milliseconds.
-const SHORT_LOAD_MEMORY_MS: u64 = 3000;
-
-/// Hosts that stay free for short queries, as a multiple of the recent number in flight.
-const SHORT_RESERVE_FACTOR: usize = 2;
-
 /// Assumed share of upstreams that the policy service allows, before the first decision.
 const INITIAL_ALLOWED_SHARE: f64 = 0.3;
 
@@ -111,9 +105,6 @@
     free_hosts: BTreeSet<(u64, Arc<str>)>,
     /// Number of long queries in flight; equals the sum over all queues.
     long_pending: usize,
-    /// Highest numbers of short queries in flight, with the time of each; the times increase and the
-    /// numbers decrease.
-    short_peaks: VecDeque<(u64, usize)>,
     /// Long queries by queue.
     queues: BTreeMap<Arc<str>, QueueLoad>,
     /// Smoothed share of upstreams that the policy service allows, by queue.
@@ -152,7 +143,8 @@
     }
 
     fn free_host(&self, now: u64, queue: &str, long: bool) -> Option<&(u64, Arc<str>)> {
-        if long && self.long_pending >= self.max_long_pending(now) {
+        // At most two thirds of the hosts, but at least one, may have long queries in flight.
+        if long && self.long_pending >= (self.hosts.len() * 2 / 3).max(1) {
             return None;
         }
         if long && self.yields(now, queue) {
@@ -165,36 +157,6 @@
         self.free_hosts.iter().find(|(_, host)| !is_paused(host))
     }
 
-    /// Returns how many hosts may have long queries in flight: at least one, and all but those that
-    /// short queries need. As long as short queries are rare, these are few; at most they are a third
-    /// of the hosts.
-    fn max_long_pending(&self, now: u64) -> usize {
-        let is_recent = |(at, _): &&(u64, usize)| now < at + SHORT_LOAD_MEMORY_MS;
-        let short_peak = self.short_peaks.iter().find(is_recent);
-        let short_peak = short_peak.map_or(0, |(_, pending)| *pending);
-        let hosts = self.hosts.len();
-        let reserve = (short_peak * SHORT_RESERVE_FACTOR).clamp(1, (hosts - hosts * 2 / 3).max(1));
-        hosts.saturating_sub(reserve).max(1)
-    }
-
-    /// Records the number of short queries in flight.
-    fn note_short_load(&mut self, now: u64) {
-        let pending = self.pending.len() - self.long_pending;
-        while let Some((at, _)) = self.short_peaks.front() {
-            if now < at + SHORT_LOAD_MEMORY_MS {
-                break;
-            }
-            self.short_peaks.pop_front();
-        }
-        while let Some((_, lower)) = self.short_peaks.back() {
-            if *lower > pending {
-                break;
-            }
-            self.short_peaks.pop_back();
-        }
-        self.short_peaks.push_back((now, pending));
-    }
-
     /// Returns whether another queue that waits has fewer long queries in flight.
     fn yields(&self, now: u64, queue: &str) -> bool {
         let own_rank = self.queues.get(queue).map_or((0, 0), QueueLoad::rank);
@@ -277,9 +239,6 @@
             long_queue: long.then(|| queue.clone()),
         };
         self.pending.insert(query_id, pending);
-        if !long {
-            self.note_short_load(now);
-        }
         Some((query_id, host))
     }
 
