--- a/crates/fleet/src/owner/gang_placement.rs
+++ b/crates/fleet/src/owner/gang_placement.rs
@@ -174,10 +174,6 @@
         if !request.needs_ticket {
             return false;
         }
-        // Claimed room is idle until its tickets have arrived.
-        if self.queries.renewal_waits(now, &ready.queue.name) {
-            return false;
-        }
         let share = self.queries.allowed_share(&ready.queue.name);
         let Some(pool) = view.pools.get(&ready.queue.pool) else {
             return false;
@@ -293,11 +289,6 @@
                 .filter_map(|(index, _)| Some(view.upstream(&claim.pool, *index)?.id.clone()))
                 .collect();
             if !renewed.is_empty() {
-                if self.has_query_host(now, ready) {
-                    self.queries.withdraw_refused_renewal(&ready.queue.name);
-                } else {
-                    self.queries.note_refused_renewal(now, &ready.queue.name);
-                }
                 self.query_in_parallel(now, ready, &renewed);
             }
         }
--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -67,9 +67,6 @@
     last_query: u64,
     /// When a step last found no free host; `None` if the queue has no such step.
     refused_at: Option<u64>,
-    /// When a gang that has claimed room last found no free host to renew its tickets; `None` if
-    /// none waits.
-    renewal_refused_at: Option<u64>,
 }
 
 impl QueueLoad {
@@ -171,28 +168,6 @@
         self.load_of(queue).refused_at = Some(now);
     }
 
-    /// Records that a gang of a queue found no free host to renew the tickets of the room that it has
-    /// claimed; until one does, other gangs of the queue get none.
-    pub fn note_refused_renewal(&mut self, now: u64, queue: &Arc<str>) {
-        self.load_of(queue).renewal_refused_at = Some(now);
-    }
-
-    /// Records that a gang of a queue renews the tickets of the room that it has claimed.
-    pub fn withdraw_refused_renewal(&mut self, queue: &str) {
-        if let Some(load) = self.queues.get_mut(queue) {
-            load.renewal_refused_at = None;
-        }
-    }
-
-    /// Returns whether a gang of a queue has claimed room and waits for a host to renew its tickets.
-    pub fn renewal_waits(&self, now: u64, queue: &str) -> bool {
-        let refused_at = self
-            .queues
-            .get(queue)
-            .and_then(|load| load.renewal_refused_at);
-        refused_at.is_some_and(|at| now < at + REFUSAL_VALIDITY_MS)
-    }
-
     fn load_of(&mut self, queue: &Arc<str>) -> &mut QueueLoad {
         self.queues.entry(queue.clone()).or_default()
     }
