--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -64,14 +64,12 @@
         let Some(step) = self.step_of(ready) else {
             return;
         };
-        if !step.pending_queries.is_empty() || now < step.query_not_before {
-            return;
-        }
-        if !self.has_query_host(now, ready) {
-            self.note_refusal(now, ready);
+        if !step.pending_queries.is_empty()
+            || now < step.query_not_before
+            || !self.queries.has_free_host(now, service.is_long())
+        {
             return;
         }
-        self.queries.withdraw_refusal(&ready.queue.name);
         let minimum_demand = request.minimum_demand();
         if !minimum_demand.fits(&self.cached_team_headroom(request.team(), view)) {
             return;
@@ -85,22 +83,6 @@
         }
     }
 
-    /// Returns whether a host is free for a query about the step.
-    pub(super) fn has_query_host(&self, now: u64, ready: &ReadyStep) -> bool {
-        ready.queue.policy_service.is_some_and(|service| {
-            self.queries
-                .has_free_host(now, &ready.queue.name, service.is_long())
-        })
-    }
-
-    /// Records that the step could query, but found no free host.
-    pub(super) fn note_refusal(&mut self, now: u64, ready: &ReadyStep) {
-        let service = ready.queue.policy_service;
-        if service.is_some_and(PolicyTiming::is_long) {
-            self.queries.note_refusal(now, &ready.queue.name);
-        }
-    }
-
     /// Queries the policy service about all these upstreams at the same time, by as many hosts as
     /// keep each query short.
     pub(super) fn query_in_parallel(
@@ -148,8 +130,7 @@
             upstreams: upstreams.clone(),
             valid_ms: service.valid_ms,
         };
-        let (queue, long) = (&ready.queue.name, service.is_long());
-        let Some((query_id, host)) = self.queries.assign(now, query, queue, long) else {
+        let Some((query_id, host)) = self.queries.assign(now, query, service.is_long()) else {
             return false;
         };
         let (mut waiting, mut known_allowed) = (0, 0);
--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -1,19 +1,13 @@
 //! Distribution of policy service queries over the hosts.
 //!
 //! The service handles one call at a time from each calling host, so each host has at most one
-//! query in flight. Long queries leave some hosts free for short ones. Queues share the hosts that
-//! remain for long queries: the scheduling order decides between the steps of one queue, but a queue
-//! with many steps, or with steps that query often, leaves hosts to the others that wait.
+//! query in flight. Long queries leave some hosts free for short ones.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::owner::advice_load::QueryHostCounts;
 
-/// Time for which a queue counts as waiting after a step of it found no free host, in milliseconds.
-/// It covers several placement passes of a large fleet.
-const REFUSAL_VALIDITY_MS: u64 = 250;
-
 /// Assumed share of upstreams that the policy service allows, before the first decision.
 const INITIAL_ALLOWED_SHARE: f64 = 0.3;
 
@@ -54,31 +48,7 @@
 struct PendingQuery {
     query: PolicyQuery,
     host: Arc<str>,
-    /// Queue of a long query.
-    long_queue: Option<Arc<str>>,
-}
-
-/// Long queries of a queue.
-#[derive(Clone, Copy, Debug, Default)]
-struct QueueLoad {
-    /// Number of long queries in flight.
-    pending: usize,
-    /// Number of the queue's last query.
-    last_query: u64,
-    /// When a step last found no free host; `None` if the queue has no such step.
-    refused_at: Option<u64>,
-}
-
-impl QueueLoad {
-    /// Returns the rank among the waiting queues; the lowest gets the next host.
-    fn rank(&self) -> (usize, u64) {
-        (self.pending, self.last_query)
-    }
-
-    fn is_waiting(&self, now: u64) -> bool {
-        self.refused_at
-            .is_some_and(|at| now < at + REFUSAL_VALIDITY_MS)
-    }
+    long: bool,
 }
 
 /// Query state of a host.
@@ -100,10 +70,8 @@
     hosts: BTreeMap<Arc<str>, HostLoad>,
     /// Free hosts by the number of their last query; the one that has been idle longest is first.
     free_hosts: BTreeSet<(u64, Arc<str>)>,
-    /// Number of long queries in flight; equals the sum over all queues.
+    /// Number of long queries in flight.
     long_pending: usize,
-    /// Long queries by queue.
-    queues: BTreeMap<Arc<str>, QueueLoad>,
     /// Smoothed share of upstreams that the policy service allows, by queue.
     allowed_shares: HashMap<Arc<str>, f64>,
 }
@@ -134,19 +102,16 @@
         }
     }
 
-    /// Returns whether a host is free for a query of a queue.
-    pub fn has_free_host(&self, now: u64, queue: &str, long: bool) -> bool {
-        self.free_host(now, queue, long).is_some()
+    /// Returns whether a host is free for a query.
+    pub fn has_free_host(&self, now: u64, long: bool) -> bool {
+        self.free_host(now, long).is_some()
     }
 
-    fn free_host(&self, now: u64, queue: &str, long: bool) -> Option<&(u64, Arc<str>)> {
+    fn free_host(&self, now: u64, long: bool) -> Option<&(u64, Arc<str>)> {
         // At most two thirds of the hosts, but at least one, may have long queries in flight.
         if long && self.long_pending >= (self.hosts.len() * 2 / 3).max(1) {
             return None;
         }
-        if long && self.yields(now, queue) {
-            return None;
-        }
         let is_paused = |host: &Arc<str>| {
             let load = self.hosts.get(host);
             load.is_some_and(|load| load.paused_until > now)
@@ -154,45 +119,9 @@
         self.free_hosts.iter().find(|(_, host)| !is_paused(host))
     }
 
-    /// Returns whether another queue that waits has fewer long queries in flight.
-    fn yields(&self, now: u64, queue: &str) -> bool {
-        let own_rank = self.queues.get(queue).map_or((0, 0), QueueLoad::rank);
-        self.queues.iter().any(|(other, load)| {
-            **other != *queue && load.is_waiting(now) && load.rank() < own_rank
-        })
-    }
-
-    /// Records that a step of a queue could send a long query, but found no free host; until it finds
-    /// one, queues with more long queries in flight get none.
-    pub fn note_refusal(&mut self, now: u64, queue: &Arc<str>) {
-        self.load_of(queue).refused_at = Some(now);
-    }
-
-    fn load_of(&mut self, queue: &Arc<str>) -> &mut QueueLoad {
-        self.queues.entry(queue.clone()).or_default()
-    }
-
-    /// Records that a step of a queue found a free host, whether it has something to query or not.
-    pub fn withdraw_refusal(&mut self, queue: &str) {
-        if let Some(load) = self.queues.get_mut(queue) {
-            load.refused_at = None;
-        }
-    }
-
-    /// Assigns a query of a queue to a free host; returns the query's number and the host.
-    pub fn assign(
-        &mut self,
-        now: u64,
-        query: PolicyQuery,
-        queue: &Arc<str>,
-        long: bool,
-    ) -> Option<(u64, Arc<str>)> {
-        let Some(free) = self.free_host(now, queue, long).cloned() else {
-            if long {
-                self.note_refusal(now, queue);
-            }
-            return None;
-        };
+    /// Assigns a query to a free host; returns the query's number and the host.
+    pub fn assign(&mut self, now: u64, query: PolicyQuery, long: bool) -> Option<(u64, Arc<str>)> {
+        let free = self.free_host(now, long)?.clone();
         self.free_hosts.remove(&free);
         let (_, host) = free;
         self.last_query += 1;
@@ -201,18 +130,12 @@
             load.busy = true;
             load.last_query = query_id;
         }
-        if long {
-            let load = self.queues.entry(queue.clone()).or_default();
-            load.pending += 1;
-            load.last_query = query_id;
-            load.refused_at = None;
-            self.long_pending += 1;
-        }
         let pending = PendingQuery {
             query,
             host: host.clone(),
-            long_queue: long.then(|| queue.clone()),
+            long,
         };
+        self.long_pending += usize::from(long);
         self.pending.insert(query_id, pending);
         Some((query_id, host))
     }
@@ -220,12 +143,7 @@
     /// Completes a query; `pause_until` delays the host's next one.
     pub fn finish(&mut self, query_id: u64, pause_until: Option<u64>) -> Option<PolicyQuery> {
         let pending = self.pending.remove(&query_id)?;
-        if let Some(queue) = &pending.long_queue {
-            self.long_pending -= 1;
-            if let Some(load) = self.queues.get_mut(queue) {
-                load.pending -= 1;
-            }
-        }
+        self.long_pending -= usize::from(pending.long);
         if let Some(load) = self.hosts.get_mut(&pending.host) {
             load.busy = false;
             load.paused_until = pause_until.unwrap_or(load.paused_until);
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -9,8 +9,6 @@
 //! A task is allocated first, then recorded in the store, and only then started
 //! (`planned_start.rs`).
 
-use std::collections::BTreeSet;
-
 use crate::owner::OwnerMachine;
 use crate::owner::fleet_view::FleetView;
 use crate::owner::placement::{Isolation, PlacementRequest};
@@ -24,33 +22,12 @@
 /// of its predecessors, because the store keeps no attempt number of a task without a run.
 const ATTEMPTS_PER_OWNER: u32 = 1000;
 
-/// What a step without a valid ticket waits for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum TicketWait {
-    /// For nothing: it has a ticket, needs none, or may query now.
-    None,
-    /// For a host that is free for a query.
-    Host,
-    /// For the answer of a query, or for the time of the next one.
-    Answer,
-}
-
 impl OwnerMachine {
     /// Places the tasks in scope that may start and fit, and queries the policy service for missing
     /// tickets.
     pub(super) fn place(&mut self, now: u64, unix_ms: u64, scope: PlacementScope) {
         let mut ready = self.ready_steps(now, unix_ms, scope);
-        let mut refused_queues = BTreeSet::new();
-        ready.retain(|step| {
-            let wait = self.ticket_wait(now, step);
-            if wait == TicketWait::Host && !refused_queues.contains(&step.queue.name) {
-                refused_queues.insert(step.queue.name.clone());
-            }
-            wait == TicketWait::None
-        });
-        for queue in refused_queues {
-            self.queries.note_refusal(now, &queue);
-        }
+        ready.retain(|step| !self.awaits_tickets(now, step));
         if scope == PlacementScope::Fresh && self.placement.has_urgent_backlog {
             ready.retain(|step| !self.has_tickets(now, step));
         }
@@ -81,13 +58,8 @@
     /// Places the tasks of one step; queries the policy service or preempts other runs if some do
     /// not fit.
     fn place_step(&mut self, now: u64, ready: &ReadyStep, view: &mut FleetView) {
-        match self.ticket_wait(now, ready) {
-            TicketWait::Host => {
-                self.note_refusal(now, ready);
-                return;
-            }
-            TicketWait::Answer => return,
-            TicketWait::None => {}
+        if self.awaits_tickets(now, ready) {
+            return;
         }
         let Some(request) = self.placement_request(now, ready) else {
             self.ready.mark_changed(&ready.submission);
@@ -102,9 +74,6 @@
             claim.release_in(view);
         }
         if request.startable.is_empty() {
-            if self.has_query_host(now, ready) {
-                self.queries.withdraw_refusal(&ready.queue.name);
-            }
             self.recheck_if_none_waiting(ready);
             return;
         }
@@ -143,31 +112,25 @@
         }
     }
 
-    /// Returns what a step without a valid ticket waits for. Gangs and long-running steps are
-    /// examined nevertheless, because they hold capacity meanwhile.
-    fn ticket_wait(&self, now: u64, ready: &ReadyStep) -> TicketWait {
-        if ready.queue.policy_service.is_none() {
-            return TicketWait::None;
-        }
+    /// Returns whether the step has no valid ticket and can't query for one now. Gangs and
+    /// long-running steps are examined nevertheless, because they hold capacity meanwhile.
+    fn awaits_tickets(&self, now: u64, ready: &ReadyStep) -> bool {
+        let Some(service) = ready.queue.policy_service else {
+            return false;
+        };
         let spec = self
             .submissions
             .get(&ready.submission)
             .and_then(|entry| entry.record.steps.get(ready.step as usize));
         if spec.is_none_or(|spec| spec.gang || spec.long_running) {
-            return TicketWait::None;
-        }
-        let Some(step) = self.step_of(ready) else {
-            return TicketWait::None;
-        };
-        if now < step.tickets_expire_at {
-            TicketWait::None
-        } else if !step.pending_queries.is_empty() || now < step.query_not_before {
-            TicketWait::Answer
-        } else if self.has_query_host(now, ready) {
-            TicketWait::None
-        } else {
-            TicketWait::Host
-        }
+            return false;
+        }
+        self.step_of(ready).is_some_and(|step| {
+            let may_query = step.pending_queries.is_empty()
+                && now >= step.query_not_before
+                && self.queries.has_free_host(now, service.is_long());
+            now >= step.tickets_expire_at && !may_query
+        })
     }
 
     /// Marks the submission to be examined again if no task of the step is waiting.
