Move the routing of orders out of the control actor

Change: `order_routing.rs` and `active_ownership.rs`. Besides, a host that has run for less than 10 s is asked for its failure domain too: the time of the last request was 0 before the first one.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonnotch_fleet::owner::{CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings};
+use lagoonnotch_fleet::owner::{CommitOutcome, OwnerMachine, OwnerSettings};
 use serde_json::json;
 use tokio::task::JoinHandle;
 use xtra::prelude::*;
 
 use crate::clock::{now_ms, unix_ms};
+use crate::control::active_ownership::ActiveOwnership;
 use crate::control::control_messages::{
     CancelledMessage, ControlInput, LookupMessage, OwnHeartbeatMessage, OwnershipGrant,
     PeerHeartbeatMessage, StepDownMessage, SubmittedMessage, TickMessage, TimedInput,
@@ -19,14 +20,14 @@
 };
 use crate::control::{ControlHandle, HostView, WaitingCounts};
 use crate::event::FleetEvent;
-use crate::forward::{ForwardPeer, RenewalForwarder, SettledRenewal};
+use crate::forward::{RenewalForwarder, SettledRenewal};
 use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, PeerClients, PeerInfo, SubmissionLookup};
 use crate::ports::{PlatformPorts, RenewOutcome};
 
 /// Time without a heartbeat after which a host gets no policy queries and is not listed as a peer,
 /// in milliseconds.
-const PEER_TIMEOUT_MS: u64 = 2000;
+pub(super) const PEER_TIMEOUT_MS: u64 = 2000;
 
 /// Minimum time between two ticks, in milliseconds. Inputs that arrive in between share one tick.
 const MIN_TICK_INTERVAL_MS: u64 = 2;
@@ -34,68 +35,20 @@
 /// Time between two updates of the hosts that may query the policy service, in milliseconds.
 const QUERY_HOST_UPDATE_MS: u64 = 200;
 
-/// Time between two requests for the failure domain of a host, in milliseconds. A host of an earlier
-/// version answers none, and closes the connection.
-const DOMAIN_RETRY_MS: u64 = 10_000;
-
-/// Maximum number of hosts that are asked for their failure domains at a time.
-const MAX_DOMAINS_ASKED: usize = 16;
-
 /// Time between two counts of the waiting submissions, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 250;
 
-/// Age up to which accepted submissions may be unknown to an owner whose counts are reported, in
-/// milliseconds: the time in which the platform expects an accepted submission to be visible.
-const MAX_UNKNOWN_MS: u64 = 3000;
-
 /// Time between two reports of the load of policy queries, in milliseconds.
 const ADVICE_REPORT_INTERVAL_MS: u64 = 1000;
 
-/// State of this host's ownership.
-struct ActiveOwnership {
-    machine: OwnerMachine,
-    /// Until when the host may act as owner, in milliseconds of its clock.
-    valid_until: u64,
-    /// Whether the last tick found that the ownership may have expired.
-    suspended: bool,
-    /// When the waiting submissions were last counted; 0 before the first count.
-    counted_at: u64,
-    /// When the load of policy queries was last reported; 0 before the first report.
-    advice_reported_at: u64,
-    /// Every submission that was stored before this time is known, in milliseconds of the host's
-    /// clock.
-    known_until: u64,
-    /// Whether the last count lacked no submission older than `MAX_UNKNOWN_MS`.
-    counts_complete: bool,
-}
-
-impl ActiveOwnership {
-    /// Returns whether a count made as of `requested_at` lacks no submission older than
-    /// `MAX_UNKNOWN_MS`, and logs changes.
-    fn check_completeness(&mut self, requested_at: u64) -> bool {
-        let unknown_ms = requested_at.saturating_sub(self.known_until);
-        let is_complete = unknown_ms <= MAX_UNKNOWN_MS;
-        if is_complete != self.counts_complete {
-            self.counts_complete = is_complete;
-            let event = if is_complete {
-                FleetEvent::WaitingCountsComplete
-            } else {
-                FleetEvent::WaitingCountsIncomplete
-            };
-            event.emit(json!({"epoch": self.machine.epoch(), "unknown_ms": unknown_ms}));
-        }
-        is_complete
-    }
-}
-
 /// A host that has sent a heartbeat to this one while it accepted policy queries.
 #[derive(Clone, Debug)]
 pub(super) struct PeerEntry {
     pub info: PeerInfo,
     /// Failure domain of the host; `None` until it was asked for.
     pub failure_domain: Option<Arc<str>>,
-    /// When the host was last asked for its failure domain; 0 before the first time.
-    pub domain_asked_at: u64,
+    /// When the host was last asked for its failure domain; `None` before the first time.
+    pub domain_asked_at: Option<u64>,
     /// When the last heartbeat arrived.
     pub heartbeat_at: u64,
 }
@@ -103,18 +56,18 @@
 /// Runs the owner's state machine and handles the messages of other components.
 #[derive(xtra::Actor)]
 pub struct ControlActor {
-    host: Arc<str>,
+    pub(super) host: Arc<str>,
     settings: OwnerSettings,
     view: HostView,
-    metrics: Arc<FleetMetrics>,
-    runner: EffectRunner,
-    forwarder: RenewalForwarder,
+    pub(super) metrics: Arc<FleetMetrics>,
+    pub(super) runner: EffectRunner,
+    pub(super) forwarder: RenewalForwarder,
     address: Address<Self>,
     ownership: Option<ActiveOwnership>,
     /// Highest epoch for which this host was asked to step down; it rejects grants of lower epochs.
     highest_successor_epoch: u64,
     /// Hosts that have sent a heartbeat while they accepted policy queries, by name.
-    peers: BTreeMap<Arc<str>, PeerEntry>,
+    pub(super) peers: BTreeMap<Arc<str>, PeerEntry>,
     tick_requested: bool,
     last_tick_at: u64,
     /// When the hosts that may query the policy service were last updated.
@@ -191,40 +144,6 @@
         recent.chain([self.host.clone()]).collect()
     }
 
-    /// Returns this host and those that may send renewals: their failure domains are known.
-    fn forward_peers(&self, now: u64) -> Vec<ForwardPeer> {
-        let recent = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS);
-        let usable =
-            recent.filter(|(host, peer)| **host == self.host || peer.failure_domain.is_some());
-        usable
-            .map(|(host, peer)| ForwardPeer {
-                host: host.clone(),
-                address: peer.info.address.clone(),
-                failure_domain: peer.failure_domain.clone().unwrap_or_default(),
-                processor_milli: peer.info.processor_milli,
-            })
-            .collect()
-    }
-
-    /// Asks some of the hosts whose failure domains are not known for them.
-    fn ask_failure_domains(&mut self, now: u64) {
-        let host = &self.host;
-        let unknown = self.peers.iter_mut().filter(|(name, peer)| {
-            *name != host
-                && peer.failure_domain.is_none()
-                && now.saturating_sub(peer.heartbeat_at) < PEER_TIMEOUT_MS
-                && now >= peer.domain_asked_at + DOMAIN_RETRY_MS
-        });
-        for (name, peer) in unknown.take(MAX_DOMAINS_ASKED) {
-            peer.domain_asked_at = now;
-            self.runner
-                .read_failure_domain(name.clone(), peer.info.address.clone());
-        }
-    }
-
     /// Ticks the owner; `requested_at` is when the tick was requested. Every message sent before
     /// that has been processed.
     fn tick(&mut self, requested_at: u64) {
@@ -267,37 +186,13 @@
             ownership.advice_reported_at = now;
             log_advice_load(&ownership.machine.advice_load(now));
         }
-        for effect in ownership.machine.take_effects() {
-            let effect = match effect {
-                OwnerEffect::Renew(order) => match self.forwarder.enqueue(now, order) {
-                    Some(order) => OwnerEffect::Renew(order),
-                    None => continue,
-                },
-                effect => effect,
-            };
-            self.runner.run(epoch, effect, &self.peers, valid_until);
-        }
-        self.forwarder.check_overdue(now);
-        let retries = self.forwarder.take_retries();
-        self.metrics
-            .count_forwarded_renewals("retried", retries.len());
-        for order in retries {
-            let retry = OwnerEffect::Renew(order);
-            self.runner.run(epoch, retry, &self.peers, valid_until);
-        }
-        for batch in self.forwarder.take_batches(now, valid_until) {
-            self.metrics
-                .count_forwarded_renewals("forwarded", batch.batch.renewals.len());
-            self.runner.forward(batch, valid_until);
-        }
-        for (delegate, reason) in self.forwarder.take_lost_delegates() {
-            FleetEvent::DelegateGivenUp.emit(json!({"delegate": delegate, "reason": reason}));
-        }
+        let effects = ownership.machine.take_effects();
         let due = ownership.machine.next_due_at(now, unix);
-        let due = due.min(self.forwarder.next_due_at());
         let (submissions, runs) = ownership.machine.counts();
-        self.metrics.set_load(submissions, runs);
         let has_stepped_down = ownership.machine.has_stepped_down();
+        self.run_effects(now, epoch, valid_until, effects);
+        let due = due.min(self.forwarder.next_due_at());
+        self.metrics.set_load(submissions, runs);
         if has_stepped_down {
             self.end_ownership("another host used a higher epoch");
             return;
@@ -522,7 +417,7 @@
                     address: request.address,
                     processor_milli: request.processor_milli,
                 },
-                domain_asked_at: earlier.as_ref().map_or(0, |peer| peer.domain_asked_at),
+                domain_asked_at: earlier.as_ref().and_then(|peer| peer.domain_asked_at),
                 failure_domain: earlier.and_then(|peer| peer.failure_domain),
                 heartbeat_at: now_ms(),
             };
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! The control actor, which runs the owner's state machine, and the state shared within a host.
 
+mod active_ownership;
 mod control_actor;
 mod control_handle;
 mod control_messages;
 mod effect_runner;
 mod host_view;
+mod order_routing;
 
 pub use control_actor::ControlActor;
 pub use control_handle::ControlHandle;
