Wait until every host of a test cell is ready

The fixture returned once every host knew the shard owners. A host learns of an owner from a heartbeat or the reply to one, and fetches the document only afterwards, so it can know the owner without a document. The product reports that truthfully: /readyz is 503 while the host has no document, and the request is refused with a code that says why. The fault was the fixture's.

--- a/crates/lagoonnotch/tests/daemon/cell.rs
+++ b/crates/lagoonnotch/tests/daemon/cell.rs
@@ -84,7 +84,7 @@
 
 impl TestCell {
     /// Starts hosts in the given failure domains, submits a first document, and waits until every
-    /// failure domain has a shard owner.
+    /// host is ready and knows a shard owner of every failure domain.
     pub async fn start(domains: &[&str]) -> Self {
         let mut names: Vec<String> = domains.iter().map(|domain| (*domain).to_owned()).collect();
         names.dedup();
@@ -107,15 +107,7 @@
             cell.add_host(&format!("host-{index}"), domain).await;
         }
         cell.submit(&first_document(&names)).await;
-        cell.wait_for(|status| {
-            status
-                .members
-                .iter()
-                .filter(|member| member.owns.is_some())
-                .count()
-                == names.len()
-        })
-        .await;
+        cell.wait_until_ready(names.len()).await;
         cell
     }
 
@@ -169,21 +161,39 @@
         call(admin, Request::post("/v1/documents"), body).await
     }
 
-    /// Waits until a condition holds for the status of every host.
-    pub async fn wait_for(&self, is_ready: impl Fn(&CellStatus) -> bool) {
-        for _ in 0..MAX_POLLS {
-            let mut all_ready = true;
-            for host in &self.hosts {
-                let response =
-                    call(host.settings.caller_address, Request::get("/v1/status"), "").await;
-                all_ready &= is_ready(&response.parse::<CellStatus>());
+    /// Returns whether every host reports that it is ready, and knows this number of shard owners.
+    /// A host may learn of the owners before it has the document.
+    pub async fn is_ready(&self, owner_count: usize) -> bool {
+        for host in &self.hosts {
+            let address = host.settings.caller_address;
+            let readiness = call(address, Request::get("/readyz"), "").await;
+            if readiness.status != StatusCode::OK || self.owner_count(host).await != owner_count {
+                return false;
             }
-            if all_ready {
+        }
+        true
+    }
+
+    /// Returns the number of shard owners that a host knows.
+    pub async fn owner_count(&self, host: &TestHost) -> usize {
+        let address = host.settings.caller_address;
+        let response = call(address, Request::get("/v1/status"), "").await;
+        let members = response.parse::<CellStatus>().members;
+        members
+            .iter()
+            .filter(|member| member.owns.is_some())
+            .count()
+    }
+
+    /// Waits until every host is ready and knows this number of shard owners.
+    pub async fn wait_until_ready(&self, owner_count: usize) {
+        for _ in 0..MAX_POLLS {
+            if self.is_ready(owner_count).await {
                 return;
             }
             sleep(POLL_INTERVAL).await;
         }
-        panic!("the cell did not reach the expected state");
+        panic!("the cell did not become ready");
     }
 
     /// Calls a host with the key of the first team.
--- a/crates/lagoonnotch/tests/daemon/main.rs
+++ b/crates/lagoonnotch/tests/daemon/main.rs
@@ -4,3 +4,4 @@
 mod api;
 mod cell;
 mod faults;
+mod readiness;
