Tell a lost response's own record from others when reading back

Cause: after a write without a response, any record under the submission's key counted as stored by this call: that of another body, and the final state of an ended submission. It was then announced to the owner as a new submission, with the revision of the other record.

Change: the record read back counts as stored by this call only if it holds the written value, as after a conflict; any other record is one that was stored before.

--- a/crates/host/src/store/submission_store.rs
+++ b/crates/host/src/store/submission_store.rs
@@ -78,17 +78,21 @@
                 outcome => outcome,
             },
             WriteOutcome::NotApplied | WriteOutcome::LeaseNotFound => StoreOutcome::NotStored,
-            WriteOutcome::Unknown => self.read_back(keys).await,
+            WriteOutcome::Unknown => self.read_back(keys, written.as_ref()).await,
         }
     }
 
-    /// Checks whether a write without a response was applied. If none of the keys exists, the
-    /// outcome is unknown, because the write may still be applied.
-    async fn read_back(&self, keys: Vec<String>) -> StoreOutcome {
-        for key in keys {
+    /// Checks whether a write without a response was applied: the first key then holds the written
+    /// value. If none of the keys exists, the outcome is unknown, because the write may still be
+    /// applied.
+    async fn read_back(&self, keys: Vec<String>, written: Option<&Bytes>) -> StoreOutcome {
+        for key in &keys {
             for _ in 0..MAX_READ_BACKS {
                 match (self.store.read)(key.clone()).await {
-                    Ok(item) => return StoreOutcome::Stored(item.create_revision),
+                    Ok(item) if is_written(&keys[0], std::slice::from_ref(&item), written) => {
+                        return StoreOutcome::Stored(item.create_revision);
+                    }
+                    Ok(item) => return StoreOutcome::AlreadyStored(item.create_revision),
                     Err(StoreError::NotFound) => break,
                     Err(_) => {}
                 }
--- a/crates/host/tests/host/submissions.rs
+++ b/crates/host/tests/host/submissions.rs
@@ -53,6 +53,34 @@
     assert!(matches!(outcome, StoreOutcome::Stored(_)));
 }
 
+/// A record of another call under the same identifier must not be announced to the owner as the one
+/// whose response was lost.
+#[tokio::test]
+async fn other_record_found_by_reading_back_is_not_reported_as_written() {
+    let store = FakeStore::default();
+    let submissions = SubmissionStore::new(store.port());
+    let revision = store.put(&submission_key("s1"), "[]");
+    store.set_write_mode(WriteMode::Dropped);
+
+    let outcome = submissions.create("s1", record()).await;
+
+    assert_eq!(outcome, StoreOutcome::AlreadyStored(revision));
+}
+
+/// The final state of an ended submission must not be announced to the owner as a new submission.
+#[tokio::test]
+async fn final_state_found_by_reading_back_is_not_reported_as_written() {
+    let store = FakeStore::default();
+    let submissions = SubmissionStore::new(store.port());
+    let ended = r#"{"state":"Completed","ended_unix_ms":1}"#;
+    let revision = store.put(&ended_key("s1"), ended);
+    store.set_write_mode(WriteMode::Dropped);
+
+    let outcome = submissions.create("s1", record()).await;
+
+    assert_eq!(outcome, StoreOutcome::AlreadyStored(revision));
+}
+
 /// A write that may still be applied later must not be reported as not stored.
 #[tokio::test]
 async fn write_that_may_be_applied_later_is_unknown() {
