List the owner once among the relays of store requests

Cause: relay_addresses removed only duplicates next to each other. The owner comes first and again among the peers, so of the few relays that a host tries one was the owner a second time, and one peer fewer was tried.

Change: each address is listed once, in the same order.

--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -1,6 +1,6 @@
 //! State shared by the components of a host.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -269,17 +269,18 @@
         peers.max().unwrap_or(0)
     }
 
-    /// Returns the addresses of hosts that may relay requests to the store, the owner's first.
+    /// Returns the addresses of hosts that may relay requests to the store, each once and the
+    /// owner's first.
     #[must_use]
     pub fn relay_addresses(&self, own_address: &str) -> Vec<Arc<str>> {
         let state = self.lock();
         let owner = state.owner.iter().map(|owner| owner.address.clone());
-        let mut relays: Vec<_> = owner
-            .chain(state.peers.iter().map(|peer| peer.address.clone()))
-            .collect();
-        relays.retain(|address| &**address != own_address);
-        relays.dedup();
-        relays
+        let peers = state.peers.iter().map(|peer| peer.address.clone());
+        let mut known = HashSet::new();
+        owner
+            .chain(peers)
+            .filter(|address| &**address != own_address && known.insert(address.clone()))
+            .collect()
     }
 
     /// Sets the numbers of waiting submissions, unless those of a later epoch are known.
--- a/crates/host/tests/host/relay.rs
+++ b/crates/host/tests/host/relay.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use lagoonnotch_host::control::{HostView, OwnerInfo};
+use lagoonnotch_host::peer::PeerInfo;
 use lagoonnotch_host::ports::{
     ListRequest, StoreError, StorePort, WriteOutcome, WriteRequest, port,
 };
@@ -118,3 +120,24 @@
         ..store.clone()
     }
 }
+
+/// Guards against a host that asks the owner twice and one peer fewer, because the owner is also
+/// among the peers.
+#[test]
+fn owner_that_is_also_a_peer_is_one_relay() {
+    let view = HostView::default();
+    let peer = |address: &str| PeerInfo {
+        address: address.into(),
+        processor_milli: 1000,
+    };
+    view.set_owner(Some(OwnerInfo {
+        host: "h3".into(),
+        address: "a3".into(),
+        epoch: 7,
+    }));
+    view.set_peers(vec![peer("a1"), peer("a2"), peer("a3"), peer("a4")]);
+
+    let relays = view.relay_addresses("a2");
+
+    assert_eq!(relays, ["a3", "a1", "a4"].map(Arc::from));
+}
