Don't tick for work that must wait until the owner may act

Cause: next_due_at counted renewals, stop orders, placement passes and occurrences that are due, but a tick without the right to act executes none of them. They stayed due, so an owner whose lease could not be renewed ticked at the minimum interval (every 2 ms) until it was sure again or replaced.

Change: while the owner may not act only commits make a tick due, and the maximum interval of 250 ms. A renewed ownership is an input and requests a tick by itself.

--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -62,20 +62,23 @@
         }
     }
 
-    /// Returns the time at which the next tick is due at the latest.
+    /// Returns the time at which the next tick is due at the latest; `may_act` as in the last one.
     #[must_use]
-    pub fn next_due_at(&self, now: u64, unix_ms: u64) -> u64 {
+    pub fn next_due_at(&self, now: u64, unix_ms: u64, may_act: bool) -> u64 {
         /// Maximum time between two ticks, in milliseconds.
         const MAX_TICK_INTERVAL_MS: u64 = 250;
         let mut due = now + MAX_TICK_INTERVAL_MS;
+        if !self.commits.is_empty() {
+            due = due.min(self.commits.last_sent_at() + self.settings.commit_interval_ms);
+        }
+        if !may_act {
+            return due.max(now);
+        }
         for next in [self.renewal_queue.next_at(), self.stop_queue.next_at()] {
             due = due.min(next.unwrap_or(due));
         }
         let next_pass_at = self.placement.next_due_at(self.ready.has_fresh());
         due = due.min(next_pass_at.unwrap_or(due));
-        if !self.commits.is_empty() {
-            due = due.min(self.commits.last_sent_at() + self.settings.commit_interval_ms);
-        }
         if let Some(due_unix_ms) = self.ready.next_due_unix_ms() {
             due = due.min(now + due_unix_ms.saturating_sub(unix_ms));
         }
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -17,3 +17,4 @@
 mod recovery;
 mod scheduling;
 mod simulation;
+mod ticks;
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -187,7 +187,7 @@
             log_advice_load(&ownership.machine.advice_load(now));
         }
         let effects = ownership.machine.take_effects();
-        let due = ownership.machine.next_due_at(now, unix);
+        let due = ownership.machine.next_due_at(now, unix, may_act);
         let (submissions, runs) = ownership.machine.counts();
         let has_stepped_down = ownership.machine.has_stepped_down();
         self.run_effects(now, epoch, valid_until, effects);
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -338,7 +338,8 @@
     fn tick(&mut self) {
         let started = Instant::now();
         self.owner.tick(self.now, self.now, true);
-        self.next_tick_at = self.owner.next_due_at(self.now, self.now).max(self.now + 1);
+        let due = self.owner.next_due_at(self.now, self.now, true);
+        self.next_tick_at = due.max(self.now + 1);
         let effects = self.owner.take_effects();
         let took = started.elapsed();
         self.cost.total += took;
