Date runs of an earlier owner when their upstream lists them

Cause: a run restored from the store kept the times 0 of its order and its confirmation also after its upstream had listed it. It was therefore never found to be stalled; its start counted from the start of the clock, so that preempting it seemed to lose more work than the bound for urgent tasks, which then waited behind batch runs; and its slowdown on completion, a huge number, entered the means of its upstream and of the fleet.

Change: the first list with a restored run confirms it and dates its order from its progress and its step's estimate. A run that this owner did not order, restored or adopted, gives no slowdown, because how long it has taken is not known. A crash after the list counts as one of an upstream that had started the run.

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -461,6 +461,14 @@
         }
         if let Some(run) = entry.runs.get_mut(name) {
             run.attempt = run.attempt.max(report.attempt);
+            if run.percent_since == 0 {
+                let submission = self.submissions.get(&name.submission);
+                let steps = submission.map(|submission| &submission.record.steps);
+                let spec = steps.and_then(|steps| steps.get(name.step as usize));
+                let estimate_ms = spec.filter(|spec| !spec.long_running);
+                let estimate_ms = estimate_ms.map_or(0, |spec| spec.estimate_ms);
+                run.confirm_restored(now, report.percent, estimate_ms);
+            }
             if run.percent != report.percent || run.percent_since == 0 {
                 run.percent = report.percent;
                 run.percent_since = now;
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -250,6 +250,7 @@
             urgent: entry.record.queue.priority == 0,
             long_running: step.long_running,
             ordered_at: now,
+            inherited: phase == RunPhase::Running,
             percent: 0,
             percent_since: now,
         })
--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -95,7 +95,7 @@
         let Some(spec) = spec.filter(|spec| spec.estimate_ms > 0 && !spec.long_running) else {
             return;
         };
-        if outcome != RunOutcome::Done || spec.best_effort || run.percent_since == 0 {
+        if outcome != RunOutcome::Done || spec.best_effort || run.inherited {
             return;
         }
         #[expect(clippy::cast_precision_loss, reason = "small times")]
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -55,8 +55,7 @@
     pub demand: ResourceSize,
     pub team: Option<Arc<str>>,
     /// Time at which the upstream confirmed the run; a list requested later without the run shows
-    /// that it is gone. 0 marks a run restored from the store, also after the upstream has listed
-    /// it.
+    /// that it is gone. 0 for a run restored from the store until the upstream lists it.
     pub confirmed_at: Option<u64>,
     /// Number of start orders for this attempt; 1 even before the first one is sent.
     pub start_orders: u32,
@@ -70,9 +69,11 @@
     pub urgent: bool,
     /// Whether it runs until it is stopped.
     pub long_running: bool,
-    /// Time at which the run was planned, first ordered or adopted, whichever is last; 0 for a run
-    /// restored from the store.
+    /// Time at which the run was planned, first ordered or adopted, whichever is last. For a run
+    /// restored from the store, 0 until the upstream lists it, and then estimated from its progress.
     pub ordered_at: u64,
+    /// Whether this owner did not order the run, so that it does not know how long it has taken.
+    pub inherited: bool,
     /// Last reported progress, in percent.
     pub percent: u32,
     /// Time since which the progress has not changed; 0 until the upstream lists a run restored
@@ -81,6 +82,14 @@
 }
 
 impl RunEntry {
+    /// Records the first list with a run that was restored from the store; `estimate_ms` is the
+    /// estimated duration of the whole run.
+    pub fn confirm_restored(&mut self, now: u64, percent: u32, estimate_ms: u64) {
+        let elapsed_ms = estimate_ms * u64::from(percent.min(100)) / 100;
+        self.ordered_at = now.saturating_sub(elapsed_ms);
+        self.confirmed_at = Some(now);
+    }
+
     /// Returns whether the run is expected to end within a duration, based on its progress.
     fn ends_within(&self, now: u64, within_ms: u64) -> bool {
         if self.phase == RunPhase::Stopping {
