Count submissions with an ended task as started

What callers saw: a submission is shown as queued, and counts as waiting, although a task of it is done, until a start of a later task is confirmed. Cause: only a confirmed or listed run marked a submission as started. A task whose start got no answer, and that ended before the next list, did neither. Change: a run that is listed as done or failed marks its submission as started.

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -247,6 +247,9 @@
             }
         }
         self.update_gang_checkpoint(&name, &finished.checkpoint);
+        if matches!(finished.outcome, RunOutcome::Done | RunOutcome::Failed) {
+            self.mark_started(&id);
+        }
         match finished.outcome {
             RunOutcome::Done => self.finish_task(now, upstream, &name),
             RunOutcome::Failed => self.fail_task(now, upstream, &name, finished.attempt),
--- a/crates/fleet/tests/fleet/scheduling.rs
+++ b/crates/fleet/tests/fleet/scheduling.rs
@@ -188,3 +188,28 @@
 
     assert_eq!(simulation.running(), ResourceSize::new(3000, 3072, 0));
 }
+
+/// Guards against a submission that counts as waiting although a task of it is done, because the
+/// start of that task got no answer.
+#[test]
+fn done_task_without_an_answered_start_has_started() {
+    let policy = queue("broadcast", 1);
+    let mut simulation =
+        FleetSimulation::new(16, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    simulation.run_ms = Some(1);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1000);
+    simulation.faults.lost_replies = 100;
+    let second = StepSpec {
+        after: vec![0],
+        label: Some("absent".into()),
+        ..step(1)
+    };
+
+    simulation.submit(&submission("s1", &policy, vec![step(1), second]));
+    simulation.run_until(simulation.now + 2000);
+
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
+    let owner = simulation.owner.as_ref().expect("there is an owner");
+    assert!(owner.waiting_counts().is_empty());
+}
