Defer policy queries that bring no start

Cause: hosts for long policy queries were given out in scheduling order, whether a grant could bring a start or not. Gangs that wait for a full pool query about all of it, up to 40 upstreams at a time, and hold the hosts (24 of 36) for half a minute; single steps all query about the same little room. Steps of another pool with room get none.

Change: a long query is deferred to the end of the placement pass, and sent if a host is still free then, unless room is expected for it: capacity that is free, or becomes free before the answer, beyond what the queries in flight are expected to use. A gang keeps its turn also if room for it and for the gangs before it becomes free within two queries (the discovery, then the renewal for its claim) and it knows too few upstreams. Renewals for claims and long-running steps are never deferred. So nothing is refused while hosts are free, and no queue has a share.

--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -11,6 +11,7 @@
 
 use crate::model::ResourceSize;
 use crate::owner::OwnerMachine;
+use crate::owner::deferred_queries::DeferredQueries;
 
 /// Index of an upstream in this owner; never reused for another upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -52,6 +53,8 @@
     pub upstreams: Vec<UpstreamView>,
     /// Capacity that becomes free within a duration in milliseconds, by duration.
     pub forecasts: HashMap<u64, CapacityForecast>,
+    /// Capacity that the gangs examined so far in the pass wait for without a claim.
+    pub awaited_by_gangs: ResourceSize,
 }
 
 /// Capacity of the upstreams of a pool that becomes free within a duration.
@@ -99,6 +102,8 @@
     pub team_headrooms: HashMap<Arc<str>, ResourceSize>,
     /// Number of victim searches that the pass may still make.
     pub preemption_searches_left: u32,
+    /// Queries that are sent at the end of the pass if hosts are free.
+    pub deferred_queries: DeferredQueries,
     /// When the forecasts of the pools were last discarded.
     forecasts_since: u64,
 }
@@ -116,6 +121,7 @@
     /// Discards what applied to an earlier pass only.
     fn begin_pass(&mut self, now: u64) {
         self.team_headrooms.clear();
+        self.deferred_queries.clear();
         self.preemption_searches_left = super::preemption::MAX_PREEMPTION_SEARCHES;
         let forecasts_expired = now >= self.forecasts_since + MAX_FORECAST_AGE_MS;
         if forecasts_expired {
@@ -125,6 +131,7 @@
             if forecasts_expired {
                 pool.forecasts.clear();
             }
+            pool.awaited_by_gangs = ResourceSize::ZERO;
             for upstream in &mut pool.upstreams {
                 upstream.reserved = ResourceSize::ZERO;
             }
@@ -214,6 +221,7 @@
             positions: vec![None; self.index_count as usize],
             team_headrooms: HashMap::new(),
             preemption_searches_left: super::preemption::MAX_PREEMPTION_SEARCHES,
+            deferred_queries: DeferredQueries::default(),
             forecasts_since: now,
         };
         for (id, entry) in &self.upstreams {
--- a/crates/fleet/src/owner/gang_placement.rs
+++ b/crates/fleet/src/owner/gang_placement.rs
@@ -8,10 +8,11 @@
 
 use std::sync::Arc;
 
-use crate::model::PolicyTiming;
+use crate::model::{PolicyTiming, ResourceSize};
 use crate::owner::OwnerMachine;
 use crate::owner::fleet_view::FleetView;
 use crate::owner::placement::PlacementRequest;
+use crate::owner::policy_queries::{QueryPlan, as_f64};
 use crate::owner::preemption::{PreemptionKind, VictimSet, cheapest_sets};
 use crate::owner::ready_list::ReadyStep;
 use crate::owner::slot_claims::{StepClaim, StepKey};
@@ -68,16 +69,22 @@
             }
             self.delay_arranging(now + EXPIRED_CLAIM_DELAY_MS, ready);
         }
+        let team_headroom = self.cached_team_headroom(request.team(), view);
+        if !request.minimum_demand().fits(&team_headroom) {
+            return;
+        }
+        let wanted = request.startable.len() as u64;
+        if let Some(pool) = view.pools.get_mut(&ready.queue.pool) {
+            pool.awaited_by_gangs += request.allocation().saturating_mul(wanted);
+        }
         let is_due = self
             .step_of(ready)
             .is_some_and(|step| now >= step.arrange_not_before);
-        let team_headroom = self.cached_team_headroom(request.team(), view);
-        if !is_due || !request.minimum_demand().fits(&team_headroom) {
+        if !is_due {
             return;
         }
         self.delay_arranging(now + ARRANGE_INTERVAL_MS, ready);
         let slots = self.gang_slots(now, ready, request, view);
-        let wanted = request.startable.len() as u64;
         let known: u64 = sum_tasks(slots.iter().filter(|slot| slot.allowed));
         if known >= wanted {
             self.claim_slots(now, ready, request, &slots, &[], view);
@@ -169,7 +176,7 @@
         slots: &[GangSlots],
         missing: u64,
         full_too: bool,
-        view: &FleetView,
+        view: &mut FleetView,
     ) -> bool {
         if !request.needs_ticket {
             return false;
@@ -178,6 +185,7 @@
         let Some(pool) = view.pools.get(&ready.queue.pool) else {
             return false;
         };
+        let allocation = request.allocation();
         let wanted = as_f64(missing) * DISCOVERY_FACTOR + DISCOVERY_MARGIN_TASKS;
         let mut expected = 0.0;
         let mut queried = Vec::new();
@@ -186,7 +194,7 @@
                 break;
             }
             let upstream = &pool.upstreams[slot.position];
-            let most = upstream.capacity.slots_for(&request.allocation());
+            let most = upstream.capacity.slots_for(&allocation);
             let tasks = if full_too { most } else { slot.tasks };
             expected += as_f64(tasks) * share;
             queried.push(upstream.id.clone());
@@ -194,10 +202,61 @@
         if queried.is_empty() || (!full_too && expected < as_f64(missing)) {
             return false;
         }
-        self.query_in_parallel(now, ready, &queried);
+        let has_room = if full_too {
+            self.can_claim_soon(now, ready, request, slots, wanted, view)
+        } else {
+            let undecided = slots.iter().filter(|slot| !slot.allowed);
+            let spoken_for = self.spoken_for(&ready.queue.pool, &allocation);
+            (as_f64(sum_tasks(undecided)) - spoken_for) * share >= as_f64(missing)
+        };
+        let expected_use = if full_too {
+            ResourceSize::ZERO
+        } else {
+            allocation.saturating_mul(missing)
+        };
+        let plan = QueryPlan {
+            upstreams: queried,
+            in_parallel: true,
+            expected_use,
+            has_room,
+        };
+        self.send_or_defer(now, ready, plan, view);
         true
     }
 
+    /// Returns whether room for the gang, beyond what the gangs before it wait for, becomes free
+    /// while it queries and then renews its tickets, and the known upstreams are too few for it.
+    fn can_claim_soon(
+        &self,
+        now: u64,
+        ready: &ReadyStep,
+        request: &PlacementRequest,
+        slots: &[GangSlots],
+        wanted: f64,
+        view: &mut FleetView,
+    ) -> bool {
+        let within_ms = 2 * ready.queue.policy_service.map_or(0, PolicyTiming::query_ms);
+        self.ensure_forecast(now, &ready.queue.pool, within_ms, view);
+        let Some(pool) = view.pools.get(&ready.queue.pool) else {
+            return false;
+        };
+        let forecast = pool.forecasts.get(&within_ms);
+        let allocation = request.allocation();
+        let (mut known, mut room) = (0, 0);
+        for slot in slots {
+            let upstream = &pool.upstreams[slot.position];
+            if slot.allowed {
+                known += upstream.capacity.slots_for(&allocation);
+            }
+            let freed = forecast.and_then(|forecast| forecast.freed.get(slot.position));
+            let free = upstream.free + freed.copied().unwrap_or_default();
+            let free = free.saturating_sub(&upstream.reserved);
+            room += free.min(&upstream.capacity).slots_for(&allocation);
+        }
+        let awaited = pool.awaited_by_gangs.dominant_share(&allocation);
+        as_f64(known) < wanted && as_f64(room) >= awaited
+    }
+
     /// Chooses runs to stop so that `missing` more tasks fit on allowed upstreams; none if they do
     /// not suffice.
     fn gang_victims(
@@ -289,7 +348,13 @@
                 .filter_map(|(index, _)| Some(view.upstream(&claim.pool, *index)?.id.clone()))
                 .collect();
             if !renewed.is_empty() {
-                self.query_in_parallel(now, ready, &renewed);
+                let plan = QueryPlan {
+                    upstreams: renewed,
+                    in_parallel: true,
+                    expected_use: ResourceSize::ZERO,
+                    has_room: true,
+                };
+                self.send_plan(now, ready, &plan);
             }
         }
         self.claims.insert(StepKey::from(ready), claim);
@@ -299,8 +364,3 @@
 fn sum_tasks<'a>(slots: impl Iterator<Item = &'a GangSlots>) -> u64 {
     slots.fold(0, |sum, slot| sum.saturating_add(slot.tasks))
 }
-
-#[expect(clippy::cast_precision_loss, reason = "small counts")]
-fn as_f64(count: u64) -> f64 {
-    count as f64
-}
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod advice_load;
 mod commit_queue;
 mod crash_suspects;
+mod deferred_queries;
 mod due_queue;
 mod effect;
 mod fleet_view;
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -38,6 +38,18 @@
 /// Free capacity that a query should cover, as a multiple of what the step needs.
 const QUERIED_CAPACITY_FACTOR: u64 = 3;
 
+/// A query that a step could send.
+#[derive(Debug)]
+pub(super) struct QueryPlan {
+    pub upstreams: Vec<Arc<str>>,
+    /// Whether as many hosts query at the same time as keep each query short.
+    pub in_parallel: bool,
+    /// Capacity that the step is expected to use once the answer has arrived.
+    pub expected_use: ResourceSize,
+    /// Whether room for a start is expected beyond what earlier steps use.
+    pub has_room: bool,
+}
+
 /// An upstream that a query may name.
 struct QueryCandidate {
     /// Position of the upstream in the view of its pool.
@@ -74,38 +86,38 @@
         if !minimum_demand.fits(&self.cached_team_headroom(request.team(), view)) {
             return;
         }
-        let upstreams =
-            self.upstreams_to_query(now, ready, request, unplaced as u64, service, view);
-        let sent = !upstreams.is_empty() && self.send_query(now, ready, upstreams, service);
+        let plan = self.plan_query(now, ready, request, unplaced as u64, service, view);
+        let sent = plan.is_some_and(|plan| self.send_or_defer(now, ready, plan, view));
         if !sent && let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step)
         {
             step.query_not_before = now + NO_CAPACITY_DELAY_MS;
         }
     }
 
-    /// Queries the policy service about all these upstreams at the same time, by as many hosts as
-    /// keep each query short.
-    pub(super) fn query_in_parallel(
-        &mut self,
-        now: u64,
-        ready: &ReadyStep,
-        upstreams: &[Arc<str>],
-    ) {
+    /// Sends a planned query; returns false if no host is free.
+    pub(super) fn send_plan(&mut self, now: u64, ready: &ReadyStep, plan: &QueryPlan) -> bool {
         let Some(service) = ready.queue.policy_service else {
-            return;
+            return false;
         };
         let step = self.step_of(ready);
         if step.is_none_or(|step| now < step.query_not_before) {
-            return;
+            return true;
         }
-        let most = cheap_upstream_count(service).clamp(1, MAX_QUERIED_UPSTREAMS);
-        let query_count = upstreams.len().div_ceil(most).max(1);
-        let chunk = upstreams.len().div_ceil(query_count).max(1);
-        for queried in upstreams.chunks(chunk) {
-            if !self.send_query(now, ready, queried.to_vec(), service) {
-                break;
+        let most = if plan.in_parallel {
+            cheap_upstream_count(service).clamp(1, MAX_QUERIED_UPSTREAMS)
+        } else {
+            plan.upstreams.len()
+        };
+        let query_count = plan.upstreams.len().div_ceil(most.max(1)).max(1);
+        let chunk = plan.upstreams.len().div_ceil(query_count).max(1);
+        let mut expected_use = plan.expected_use;
+        for queried in plan.upstreams.chunks(chunk) {
+            if !self.send_query(now, ready, queried.to_vec(), expected_use, service) {
+                return false;
             }
+            expected_use = ResourceSize::ZERO;
         }
+        true
     }
 
     fn send_query(
@@ -113,6 +125,7 @@
         now: u64,
         ready: &ReadyStep,
         upstreams: Vec<Arc<str>>,
+        expected_use: ResourceSize,
         service: PolicyTiming,
     ) -> bool {
         #[expect(
@@ -127,7 +140,9 @@
             submission: ready.submission.clone(),
             occurrence: ready.occurrence,
             step: ready.step,
+            pool: ready.queue.pool.clone(),
             upstreams: upstreams.clone(),
+            expected_use,
             valid_ms: service.valid_ms,
         };
         let Some((query_id, host)) = self.queries.assign(now, query, service.is_long()) else {
@@ -159,13 +174,14 @@
         true
     }
 
-    /// Chooses the upstreams for a query.
+    /// Chooses the upstreams for a query; `None` if none has room for a task when the answer
+    /// arrives.
     ///
     /// Capacity that becomes free before the answer arrives counts as free. Which upstreams may run
     /// a step never changes, and the fixed cost of a query is much higher than the cost per
     /// upstream. So the first query names many upstreams, including full ones, and later queries
     /// renew the tickets of allowed upstreams with free capacity.
-    fn upstreams_to_query(
+    fn plan_query(
         &self,
         now: u64,
         ready: &ReadyStep,
@@ -173,16 +189,12 @@
         unplaced: u64,
         service: PolicyTiming,
         view: &mut FleetView,
-    ) -> Vec<Arc<str>> {
+    ) -> Option<QueryPlan> {
         let within_ms = service.query_ms();
         self.ensure_forecast(now, &ready.queue.pool, within_ms, view);
-        let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
-        else {
-            return Vec::new();
-        };
-        let Some(forecast) = pool.forecasts.get(&within_ms) else {
-            return Vec::new();
-        };
+        let step = self.step_of(ready)?;
+        let pool = view.pools.get(&ready.queue.pool)?;
+        let forecast = pool.forecasts.get(&within_ms)?;
         let candidate =
             |position| query_candidate(now, request, step, &pool.upstreams, forecast, position);
         // Few upstreams of a full pool have room, and most examinations end here.
@@ -205,10 +217,11 @@
         };
         let needed_capacity = if request.spec().gang { unplaced } else { 1 };
         let allowed_capacity = capacity_of(&candidates, true);
+        let total_capacity = capacity_of(&candidates, false);
         if allowed_capacity >= needed_capacity {
             candidates.retain(|candidate| candidate.known_allowed);
-        } else if capacity_of(&candidates, false) < needed_capacity {
-            return Vec::new();
+        } else if total_capacity < needed_capacity {
+            return None;
         } else {
             candidates = (0..pool.upstreams.len())
                 .filter_map(candidate)
@@ -224,7 +237,9 @@
             )
         });
         let cheap = cheap_upstream_count(service);
+        let share = self.queries.allowed_share(&ready.queue.name);
         let mut queried_capacity: u64 = 0;
+        let mut expected_tasks = 0.0;
         let mut queried = Vec::new();
         for candidate in candidates {
             let enough = if allowed_capacity >= needed_capacity {
@@ -236,9 +251,19 @@
                 break;
             }
             queried_capacity = queried_capacity.saturating_add(candidate.task_capacity);
+            let likelihood = if candidate.known_allowed { 1.0 } else { share };
+            expected_tasks += as_f64(candidate.task_capacity.min(unplaced)) * likelihood;
             queried.push(pool.upstreams[candidate.position].id.clone());
         }
-        queried
+        let allocation = request.allocation();
+        let spoken_for = self.spoken_for(&ready.queue.pool, &allocation);
+        (!queried.is_empty()).then(|| QueryPlan {
+            upstreams: queried,
+            in_parallel: false,
+            expected_use: allocation.saturating_mul(whole_tasks(expected_tasks).min(unplaced)),
+            has_room: request.spec().long_running
+                || as_f64(total_capacity) >= spoken_for + as_f64(needed_capacity),
+        })
     }
 
     /// Computes the capacity of a pool that becomes free within a duration, once for each pass.
@@ -350,6 +375,21 @@
     })
 }
 
+#[expect(clippy::cast_precision_loss, reason = "small counts")]
+pub(super) fn as_f64(count: u64) -> f64 {
+    count as f64
+}
+
+/// Returns an expected number of tasks, rounded up.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "small positive counts"
+)]
+fn whole_tasks(expected: f64) -> u64 {
+    expected.ceil() as u64
+}
+
 fn has_ticket(step: &StepEntry, index: UpstreamIndex, now: u64) -> bool {
     step.tickets
         .get(&index)
--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::model::ResourceSize;
 use crate::owner::advice_load::QueryHostCounts;
 
 /// Assumed share of upstreams that the policy service allows, before the first decision.
@@ -38,7 +39,10 @@
     pub submission: Arc<str>,
     pub occurrence: u32,
     pub step: u32,
+    pub pool: Arc<str>,
     pub upstreams: Vec<Arc<str>>,
+    /// Capacity of the pool that the step is expected to use once the answer has arrived.
+    pub expected_use: ResourceSize,
     /// Validity of tickets according to the queue's policy, in milliseconds.
     pub valid_ms: u64,
 }
@@ -72,6 +76,8 @@
     free_hosts: BTreeSet<(u64, Arc<str>)>,
     /// Number of long queries in flight.
     long_pending: usize,
+    /// Capacity that the steps with queries in flight are expected to use, by pool.
+    expected_use: HashMap<Arc<str>, ResourceSize>,
     /// Smoothed share of upstreams that the policy service allows, by queue.
     allowed_shares: HashMap<Arc<str>, f64>,
 }
@@ -107,9 +113,19 @@
         self.free_host(now, long).is_some()
     }
 
+    /// Returns how many more long queries may be in flight.
+    pub fn free_long_count(&self) -> usize {
+        let allowed = self.max_long_pending().saturating_sub(self.long_pending);
+        allowed.min(self.free_hosts.len())
+    }
+
+    /// At most two thirds of the hosts, but at least one, may have long queries in flight.
+    fn max_long_pending(&self) -> usize {
+        (self.hosts.len() * 2 / 3).max(1)
+    }
+
     fn free_host(&self, now: u64, long: bool) -> Option<&(u64, Arc<str>)> {
-        // At most two thirds of the hosts, but at least one, may have long queries in flight.
-        if long && self.long_pending >= (self.hosts.len() * 2 / 3).max(1) {
+        if long && self.long_pending >= self.max_long_pending() {
             return None;
         }
         let is_paused = |host: &Arc<str>| {
@@ -130,6 +146,7 @@
             load.busy = true;
             load.last_query = query_id;
         }
+        *self.expected_use.entry(query.pool.clone()).or_default() += query.expected_use;
         let pending = PendingQuery {
             query,
             host: host.clone(),
@@ -144,6 +161,9 @@
     pub fn finish(&mut self, query_id: u64, pause_until: Option<u64>) -> Option<PolicyQuery> {
         let pending = self.pending.remove(&query_id)?;
         self.long_pending -= usize::from(pending.long);
+        if let Some(expected) = self.expected_use.get_mut(&pending.query.pool) {
+            *expected = expected.saturating_sub(&pending.query.expected_use);
+        }
         if let Some(load) = self.hosts.get_mut(&pending.host) {
             load.busy = false;
             load.paused_until = pause_until.unwrap_or(load.paused_until);
@@ -152,6 +172,11 @@
         Some(pending.query)
     }
 
+    /// Returns the capacity of a pool that steps with queries in flight are expected to use.
+    pub fn expected_use(&self, pool: &str) -> ResourceSize {
+        self.expected_use.get(pool).copied().unwrap_or_default()
+    }
+
     /// Returns the share of upstreams that the policy service is expected to allow for a step of a
     /// queue.
     pub fn allowed_share(&self, queue: &str) -> f64 {
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -44,6 +44,7 @@
         for step in ready {
             self.place_step(now, &step, &mut view);
         }
+        self.send_deferred_queries(now, &mut view);
         self.view_cache.store(view);
     }
 
@@ -58,7 +59,7 @@
     /// Places the tasks of one step; queries the policy service or preempts other runs if some do
     /// not fit.
     fn place_step(&mut self, now: u64, ready: &ReadyStep, view: &mut FleetView) {
-        if self.awaits_tickets(now, ready) {
+        if self.awaits_tickets(now, ready) || self.awaits_other_queries(now, ready, view) {
             return;
         }
         let Some(request) = self.placement_request(now, ready) else {
@@ -118,11 +119,7 @@
         let Some(service) = ready.queue.policy_service else {
             return false;
         };
-        let spec = self
-            .submissions
-            .get(&ready.submission)
-            .and_then(|entry| entry.record.steps.get(ready.step as usize));
-        if spec.is_none_or(|spec| spec.gang || spec.long_running) {
+        if self.may_hold_capacity(ready) {
             return false;
         }
         self.step_of(ready).is_some_and(|step| {
@@ -133,6 +130,22 @@
         })
     }
 
+    /// Returns whether the step has no valid ticket, and its query would wait for others.
+    fn awaits_other_queries(&self, now: u64, ready: &ReadyStep, view: &FleetView) -> bool {
+        self.is_query_futile(ready, view)
+            && !self.has_tickets(now, ready)
+            && !self.may_hold_capacity(ready)
+    }
+
+    /// Returns whether the step is a gang or long-running, or unknown.
+    fn may_hold_capacity(&self, ready: &ReadyStep) -> bool {
+        let spec = self
+            .submissions
+            .get(&ready.submission)
+            .and_then(|entry| entry.record.steps.get(ready.step as usize));
+        spec.is_none_or(|spec| spec.gang || spec.long_running)
+    }
+
     /// Marks the submission to be examined again if no task of the step is waiting.
     fn recheck_if_none_waiting(&mut self, ready: &ReadyStep) {
         let waits = |step: &StepEntry| {
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -138,6 +138,8 @@
     pub queries: Vec<(String, usize)>,
     /// Upstreams that the policy service allows; `None` allows all.
     pub allowed: Option<BTreeSet<Arc<str>>>,
+    /// Number of hosts that may query the policy service; read at a takeover.
+    pub query_hosts: u32,
     /// Duration of each run, in milliseconds; `None` draws it at random.
     pub run_ms: Option<u64>,
     /// Whether commits are neither stored nor replied to.
@@ -195,6 +197,7 @@
             stopped: Vec::new(),
             queries: Vec::new(),
             allowed: None,
+            query_hosts: 1,
             run_ms: None,
             store_unavailable: false,
             deadly: BTreeSet::new(),
@@ -235,7 +238,8 @@
                 previous_owner_active_ms: if self.previous.is_some() { 6000 } else { 0 },
             },
         );
-        owner.set_query_hosts(&BTreeSet::from([Arc::from("host")]));
+        let hosts = (0..self.query_hosts).map(|number| Arc::from(format!("host{number}")));
+        owner.set_query_hosts(&hosts.collect());
         self.owner = Some(owner);
         self.next_directory_at = 0;
     }
