Let a gang that found no host query with the next one

Cause: a gang with room that found no free host for its query was examined again only after 40 ms. A host that became free meanwhile went to a step of a later queue.

Change: such a gang is examined again in the first pass in which a host is free.

--- a/crates/fleet/src/owner/gang_placement.rs
+++ b/crates/fleet/src/owner/gang_placement.rs
@@ -77,12 +77,16 @@
         if let Some(pool) = view.pools.get_mut(&ready.queue.pool) {
             pool.awaited_by_gangs += request.allocation().saturating_mul(wanted);
         }
-        let is_due = self
-            .step_of(ready)
-            .is_some_and(|step| now >= step.arrange_not_before);
+        let service = ready.queue.policy_service;
+        let is_long = service.is_some_and(PolicyTiming::is_long);
+        let has_free_host = self.queries.has_free_host(now, is_long);
+        let is_due = self.step_of(ready).is_some_and(|step| {
+            now >= step.arrange_not_before || (step.awaits_query_host && has_free_host)
+        });
         if !is_due {
             return;
         }
+        self.set_awaits_query_host(ready, false);
         self.delay_arranging(now + ARRANGE_INTERVAL_MS, ready);
         let slots = self.gang_slots(now, ready, request, view);
         let known: u64 = sum_tasks(slots.iter().filter(|slot| slot.allowed));
@@ -117,6 +121,12 @@
         }
     }
 
+    fn set_awaits_query_host(&mut self, ready: &ReadyStep, awaits: bool) {
+        if let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step) {
+            step.awaits_query_host = awaits;
+        }
+    }
+
     fn has_pending_query(&self, ready: &ReadyStep) -> bool {
         self.step_of(ready)
             .is_some_and(|step| !step.pending_queries.is_empty())
@@ -220,7 +230,8 @@
             expected_use,
             has_room,
         };
-        self.send_or_defer(now, ready, plan, view);
+        let sent = self.send_or_defer(now, ready, plan, view);
+        self.set_awaits_query_host(ready, !sent);
         true
     }
 
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -68,6 +68,8 @@
     pub query_not_before: u64,
     /// Earliest time of the next attempt to arrange room for the gang.
     pub arrange_not_before: u64,
+    /// Whether the gang has room and waits for a host to query.
+    pub awaits_query_host: bool,
     /// Earliest time of the next search for victims.
     pub preemption_not_before: u64,
     /// Latest checkpoint of any member of the gang.
--- a/crates/fleet/tests/fleet/advice.rs
+++ b/crates/fleet/tests/fleet/advice.rs
@@ -81,6 +81,26 @@
     assert_eq!(query_count(&simulation, "batch"), 3);
 }
 
+/// Guards against gangs that lose their turn to later queues although the pool has room for them.
+#[test]
+fn gangs_with_room_query_before_later_queues() {
+    let mut simulation = fleet_with_standing_tasks(6, 0);
+    for number in 0..100 {
+        let id = format!("batch{number}");
+        simulation.submit(&submission(&id, &batch_queue(), vec![step(1)]));
+    }
+    submit_gangs(&mut simulation, 8);
+    simulation.queries.clear();
+
+    simulation.run_until(simulation.now + 3000);
+
+    let completed = (0..8).filter(|number| {
+        let state = simulation.state_of(&format!("gang{number}"));
+        state == Some(SubmissionState::Completed)
+    });
+    assert_eq!(completed.count(), 8, "{:?}", simulation.queries);
+}
+
 /// Guards against hosts that stay idle because no query would bring a start: a gang that knows
 /// where it may run claims room as soon as there is some.
 #[test]
