Measure the cost of ticks by the number of waiting steps

Cause: the benchmark gave one figure per start for a whole load, so it did not show which part of a tick grows with the steps that wait, nor whether two versions make the same decisions. Change: cases with two and four times the load of the large fleet, the time of the ticks by the number of waiting steps, and a digest of all start orders.

--- a/crates/fleet/benches/policy/cases.rs
+++ b/crates/fleet/benches/policy/cases.rs
@@ -102,7 +102,8 @@
     cases
 }
 
-/// Adds a fleet of 1,100 upstreams, calm and with more batch work than it can run at once.
+/// Adds a fleet of 1,100 upstreams, calm, with more batch work than it can run at once, and with
+/// several times as much work of all kinds, so that thousands of steps wait.
 fn add_large_cases(cases: &mut Vec<PolicyCase>) {
     let calm = SimulationSettings {
         host_count: 147,
@@ -112,12 +113,20 @@
         name: "large-calm".to_owned(),
         settings: calm.clone(),
     });
-    let mut full = calm;
+    let mut full = calm.clone();
     full.mix = full.mix.with_batch_burst(8.0);
     cases.push(PolicyCase {
         name: "large-full".to_owned(),
         settings: full,
     });
+    for factor in [2.0, 4.0] {
+        let mut overload = calm.clone();
+        overload.mix = overload.mix.with_rate_factor(factor);
+        cases.push(PolicyCase {
+            name: format!("large-overload-{factor}"),
+            settings: overload,
+        });
+    }
 }
 
 fn add_notice_cases(cases: &mut Vec<PolicyCase>) {
--- a/crates/fleet/benches/policy/main.rs
+++ b/crates/fleet/benches/policy/main.rs
@@ -5,10 +5,10 @@
 
 mod cases;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lagoonnotch_fleet::owner::OwnerSettings;
-use lagoonnotch_model::{FleetSimulation, SimulationSettings, SimulationSummary};
+use lagoonnotch_model::{BacklogCost, FleetSimulation, SimulationSettings, SimulationSummary};
 
 /// Seeds of each case.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
@@ -34,6 +34,17 @@
     }
 }
 
+/// Returns the costs of the ticks of all outcomes by the number of waiting steps.
+fn merged_backlog_costs(outcomes: &[SimulationSummary]) -> BTreeMap<usize, BacklogCost> {
+    let mut merged: BTreeMap<usize, BacklogCost> = BTreeMap::new();
+    for (backlog, cost) in outcomes.iter().flat_map(|outcome| &outcome.backlog_costs) {
+        let sum = merged.entry(*backlog).or_default();
+        sum.ticks += cost.ticks;
+        sum.tick_count += cost.tick_count;
+    }
+    merged
+}
+
 fn mean(outcomes: &[SimulationSummary], metric: impl Fn(&SimulationSummary) -> f64) -> f64 {
     let count = u32::try_from(outcomes.len()).unwrap_or(1);
     outcomes.iter().map(metric).sum::<f64>() / f64::from(count.max(1))
@@ -99,6 +110,17 @@
         });
         println!("    stop orders, {reason}: {orders:.0}");
     }
+    for (backlog, cost) in merged_backlog_costs(outcomes) {
+        println!(
+            "    with {backlog} or more waiting steps: {} ticks of {:.0} us",
+            cost.tick_count,
+            cost.ticks.as_secs_f64() * 1e6 / cost.tick_count.max(1) as f64,
+        );
+    }
+    let digest = outcomes.iter().fold(0, |sum: u64, outcome| {
+        sum.rotate_left(1) ^ outcome.start_digest
+    });
+    println!("    digest of the starts: {digest:016x}");
     println!(
         "    owner: {:.1} us per start, longest tick {:.1} ms",
         mean(outcomes, |outcome| {
--- a/crates/fleet/src/owner/advice_load.rs
+++ b/crates/fleet/src/owner/advice_load.rs
@@ -34,6 +34,14 @@
     pub unasked: usize,
 }
 
+impl TicketWaits {
+    /// Returns the number of steps.
+    #[must_use]
+    pub fn steps(&self) -> usize {
+        self.querying + self.ticketed + self.delayed + self.unasked
+    }
+}
+
 /// Load of the queries to the policy service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct AdviceLoad {
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -12,7 +12,7 @@
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision,
     QueryOrder, QueryOutcome, RecoveredState, RenewOrder, RosterEntry, StartOrder, StopOrder,
-    StoredSubmission,
+    StoredSubmission, TicketWaits,
 };
 
 use crate::simulated_upstream::SimulatedUpstream;
@@ -130,6 +130,8 @@
     /// When the policy service will have answered all calls so far, by calling host.
     policy_free_at: HashMap<Arc<str>, u64>,
     next_tick_at: u64,
+    /// Number of waiting steps at the last read of the directory.
+    waiting_steps: usize,
     /// Sum and number of the utilization samples of each pool.
     utilization_sums: Vec<(f64, u32)>,
     summary: SimulationSummary,
@@ -171,6 +173,7 @@
             roster: Vec::new(),
             policy_free_at: HashMap::new(),
             next_tick_at: 0,
+            waiting_steps: 0,
             utilization_sums,
             summary: SimulationSummary::default(),
             cost: OwnerCost::default(),
@@ -345,6 +348,10 @@
         self.cost.ticks += took;
         self.cost.longest_tick = self.cost.longest_tick.max(took);
         self.cost.tick_count += 1;
+        let backlog = backlog_range(self.waiting_steps);
+        let backlog_cost = self.summary.backlog_costs.entry(backlog).or_default();
+        backlog_cost.ticks += took;
+        backlog_cost.tick_count += 1;
         let epoch = self.epoch;
         for effect in effects {
             match effect {
@@ -352,7 +359,10 @@
                     self.summary.renewals += 1;
                     self.push(ONE_WAY_MS, Event::Renew(order, self.now));
                 }
-                OwnerEffect::Start(order) => self.push(ONE_WAY_MS, Event::Start(order)),
+                OwnerEffect::Start(order) => {
+                    self.add_to_digest(&order);
+                    self.push(ONE_WAY_MS, Event::Start(order));
+                }
                 OwnerEffect::Stop(order) => {
                     let reason = order.reason.label();
                     *self.summary.stop_orders.entry(reason).or_default() += 1;
@@ -367,6 +377,13 @@
         }
     }
 
+    /// Adds a start order to the digest.
+    fn add_to_digest(&mut self, order: &StartOrder) {
+        let earlier = format!("{:x} {}", self.summary.start_digest, self.now);
+        let task = order.task.to_string();
+        self.summary.start_digest = hash_of(&[&earlier, &task, &order.upstream], order.attempt);
+    }
+
     fn submit(&mut self, kind: usize) {
         let team = self.draw_team();
         let number = self.submissions.len() as u64;
@@ -612,6 +629,8 @@
 
     fn read_directory(&mut self) {
         let now = self.now;
+        let queues = self.owner.advice_load(now).queues;
+        self.waiting_steps = queues.values().map(TicketWaits::steps).sum();
         let revision = now - now % UPSTREAM_REPORT_PERIOD_MS;
         let reports = self
             .upstreams
@@ -799,6 +818,17 @@
     (point as f64 / f64::from(1 << 24)) < share
 }
 
+/// Returns a number of waiting steps, rounded down to 0 or to 250 times a power of two.
+fn backlog_range(waiting_steps: usize) -> usize {
+    let mut range = 0;
+    let mut next = 250;
+    while waiting_steps >= next {
+        range = next;
+        next *= 2;
+    }
+    range
+}
+
 /// Hashes texts and a number to a pseudo-random number: FNV-1a and the finalizer of `SplitMix64`.
 fn hash_of(texts: &[&str], number: u32) -> u64 {
     let mut hash: u64 = 0xcbf2_9ce4_8422_2325 ^ u64::from(number);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,5 +15,5 @@
 pub use random_source::RandomSource;
 pub use simulated_upstream::{SimulatedRun, SimulatedUpstream};
 pub use simulation_settings::{SimulationSettings, TeamLoad, UpstreamFault};
-pub use simulation_summary::{KindSummary, OwnerCost, SimulationSummary};
+pub use simulation_summary::{BacklogCost, KindSummary, OwnerCost, SimulationSummary};
 pub use submission_kind::{Burst, LoadMix, PoolShape, SubmissionKind};
--- a/crates/model/src/simulation_summary.rs
+++ b/crates/model/src/simulation_summary.rs
@@ -61,6 +61,15 @@
     pub tick_count: u64,
 }
 
+/// Elapsed real time of the ticks while a range of steps waited.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BacklogCost {
+    /// Time of the ticks.
+    pub ticks: Duration,
+    /// Number of ticks.
+    pub tick_count: u64,
+}
+
 /// Results of a simulation.
 #[derive(Clone, Debug, Default)]
 pub struct SimulationSummary {
@@ -84,6 +93,12 @@
     pub unfairness: f64,
     /// Elapsed real time of the owner's state machine.
     pub cost: OwnerCost,
+    /// Elapsed real time of the ticks by the number of waiting steps, rounded down to 0 or to 250
+    /// times a power of two.
+    pub backlog_costs: BTreeMap<usize, BacklogCost>,
+    /// Hash of all start orders in the order in which they were sent; two runs with the same one
+    /// made the same decisions.
+    pub start_digest: u64,
 }
 
 impl SimulationSummary {
--- a/crates/model/src/submission_kind.rs
+++ b/crates/model/src/submission_kind.rs
@@ -166,6 +166,15 @@
         self
     }
 
+    /// Returns the mix with the arrival rates of all kinds multiplied by `factor`.
+    #[must_use]
+    pub fn with_rate_factor(mut self, factor: f64) -> Self {
+        for kind in &mut self.kinds {
+            kind.arrivals_per_s *= factor;
+        }
+        self
+    }
+
     /// Returns the factor of a kind's arrival rate at a time after the start of the load.
     #[must_use]
     pub fn burst_factor(&self, kind: &str, now: u64) -> f64 {
