Leave out steps that can only wait for tickets before sorting

Cause: each placement pass cloned and sorted all ready steps, and then looked up the submission and the state of each twice, only to find that no host is free to query the policy service for it. That cost grows with the steps that wait. Change: the ready list knows when a step's tickets expire and whether it holds capacity while it waits. Steps without tickets are left out before the sort, without a look-up while no host is free.

--- a/crates/fleet/src/owner/query_dispatcher.rs
+++ b/crates/fleet/src/owner/query_dispatcher.rs
@@ -61,6 +61,20 @@
     last_query: u64,
 }
 
+/// Whether hosts are free for queries.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FreeHosts {
+    long: bool,
+    short: bool,
+}
+
+impl FreeHosts {
+    /// Returns whether a host is free for a long or a short query.
+    pub fn any_for(self, long: bool) -> bool {
+        if long { self.long } else { self.short }
+    }
+}
+
 /// Assigns queries to hosts.
 #[derive(Debug, Default)]
 pub(super) struct QueryDispatcher {
@@ -107,6 +121,14 @@
         self.free_host(now, long).is_some()
     }
 
+    /// Returns whether hosts are free for queries.
+    pub fn free_hosts(&self, now: u64) -> FreeHosts {
+        FreeHosts {
+            long: self.has_free_host(now, true),
+            short: self.has_free_host(now, false),
+        }
+    }
+
     fn free_host(&self, now: u64, long: bool) -> Option<&(u64, Arc<str>)> {
         // At most two thirds of the hosts, but at least one, may have long queries in flight.
         if long && self.long_pending >= (self.hosts.len() * 2 / 3).max(1) {
--- a/crates/fleet/src/owner/ready_list.rs
+++ b/crates/fleet/src/owner/ready_list.rs
@@ -41,6 +41,10 @@
     pub total_objective_ms: u64,
     /// Whether any step of the submission is long-running.
     pub submission_is_long_running: bool,
+    /// Whether the step holds capacity while it waits, because it is a gang or long-running.
+    pub holds_capacity: bool,
+    /// Time at which the last of its tickets expires; 0 if it has had none.
+    pub tickets_expire_at: u64,
     pub queue: Arc<QueuePolicy>,
 }
 
@@ -67,6 +71,11 @@
         }
     }
 
+    /// Returns whether the step has valid tickets or needs none.
+    pub fn has_tickets(&self, now: u64) -> bool {
+        self.queue.policy_service.is_none() || now < self.tickets_expire_at
+    }
+
     /// Returns the sort key of the scheduling order; the lowest is placed first.
     pub fn scheduling_key(&self, now: u64) -> (DeadlineStatus, u32, u64) {
         let deadline = self.eligible_at + self.total_objective_ms;
@@ -123,7 +132,8 @@
 }
 
 impl OwnerMachine {
-    /// Returns the steps in scope with tasks that may start, in scheduling order.
+    /// Returns the steps in scope with tasks that may start, in scheduling order. Steps that can
+    /// only wait for tickets are left out.
     pub(super) fn ready_steps(
         &mut self,
         now: u64,
@@ -149,16 +159,25 @@
         let is_urgent = |step: &&Arc<ReadyStep>| {
             step.priority == 0 && step.deadline_status(now) == DeadlineStatus::OnTime
         };
+        let hosts = self.queries.free_hosts(now);
+        let is_examined = |step: &&Arc<ReadyStep>| !self.awaits_tickets(now, step, hosts);
         let steps = &self.ready.steps;
         let mut ready: Vec<_> = match scope {
-            PlacementScope::All => steps.values().flatten().cloned().collect(),
+            PlacementScope::All => {
+                let all = steps.values().flatten().filter(is_examined);
+                all.cloned().collect()
+            }
             PlacementScope::Urgent => {
                 let urgent = steps.values().flatten().filter(is_urgent);
-                urgent.cloned().collect()
+                urgent.filter(is_examined).cloned().collect()
             }
             PlacementScope::Fresh => {
                 let fresh = fresh.iter().filter_map(|id| steps.get(id)).flatten();
-                fresh.filter(is_urgent).cloned().collect()
+                fresh
+                    .filter(is_urgent)
+                    .filter(is_examined)
+                    .cloned()
+                    .collect()
             }
         };
         ready.sort_by_cached_key(|step| step.scheduling_key(now));
@@ -192,6 +211,7 @@
             };
             let startable = startable_steps(entry, number);
             ready.extend(startable.into_iter().map(|step| {
+                let spec = &entry.record.steps[step as usize];
                 Arc::new(ReadyStep {
                     submission: id.clone(),
                     occurrence: number,
@@ -200,6 +220,8 @@
                     eligible_at,
                     total_objective_ms,
                     submission_is_long_running: entry.record.is_long_running(),
+                    holds_capacity: spec.gang || spec.long_running,
+                    tickets_expire_at: occurrence.steps[step as usize].tickets_expire_at,
                     queue: queue.clone(),
                 })
             }));
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -13,6 +13,7 @@
 use crate::owner::fleet_view::FleetView;
 use crate::owner::placement::{Isolation, PlacementRequest};
 use crate::owner::placement_schedule::PlacementScope;
+use crate::owner::query_dispatcher::FreeHosts;
 use crate::owner::ready_list::{DeadlineStatus, ReadyStep};
 use crate::owner::slot_claims::StepKey;
 use crate::owner::submission_entry::{StepEntry, TaskPhase};
@@ -27,9 +28,8 @@
     /// tickets.
     pub(super) fn place(&mut self, now: u64, unix_ms: u64, scope: PlacementScope) {
         let mut ready = self.ready_steps(now, unix_ms, scope);
-        ready.retain(|step| !self.awaits_tickets(now, step));
         if scope == PlacementScope::Fresh && self.placement.has_urgent_backlog {
-            ready.retain(|step| !self.has_tickets(now, step));
+            ready.retain(|step| !step.has_tickets(now));
         }
         if ready.is_empty() {
             return;
@@ -47,18 +47,10 @@
         self.view_cache.store(view);
     }
 
-    /// Returns whether the step has valid tickets or needs none.
-    fn has_tickets(&self, now: u64, ready: &ReadyStep) -> bool {
-        ready.queue.policy_service.is_none()
-            || self
-                .step_of(ready)
-                .is_some_and(|step| now < step.tickets_expire_at)
-    }
-
     /// Places the tasks of one step; queries the policy service or preempts other runs if some do
     /// not fit.
     fn place_step(&mut self, now: u64, ready: &ReadyStep, view: &mut FleetView) {
-        if self.awaits_tickets(now, ready) {
+        if self.awaits_tickets(now, ready, self.queries.free_hosts(now)) {
             return;
         }
         let Some(request) = self.placement_request(now, ready) else {
@@ -99,7 +91,7 @@
         }
         self.placement.has_urgent_backlog |= ready.priority == 0
             && ready.deadline_status(now) == DeadlineStatus::OnTime
-            && self.has_tickets(now, ready);
+            && ready.has_tickets(now);
         if request.needs_ticket {
             self.query_for_step(now, ready, &request, unplaced, view);
         }
@@ -114,23 +106,16 @@
 
     /// Returns whether the step has no valid ticket and can't query for one now. Gangs and
     /// long-running steps are examined nevertheless, because they hold capacity meanwhile.
-    fn awaits_tickets(&self, now: u64, ready: &ReadyStep) -> bool {
+    pub(super) fn awaits_tickets(&self, now: u64, ready: &ReadyStep, hosts: FreeHosts) -> bool {
         let Some(service) = ready.queue.policy_service else {
             return false;
         };
-        let spec = self
-            .submissions
-            .get(&ready.submission)
-            .and_then(|entry| entry.record.steps.get(ready.step as usize));
-        if spec.is_none_or(|spec| spec.gang || spec.long_running) {
+        if ready.holds_capacity || ready.has_tickets(now) {
             return false;
         }
-        self.step_of(ready).is_some_and(|step| {
-            let may_query = step.pending_queries.is_empty()
-                && now >= step.query_not_before
-                && self.queries.has_free_host(now, service.is_long());
-            now >= step.tickets_expire_at && !may_query
-        })
+        let may_query =
+            |step: &StepEntry| step.pending_queries.is_empty() && now >= step.query_not_before;
+        !hosts.any_for(service.is_long()) || !self.step_of(ready).is_none_or(may_query)
     }
 
     /// Marks the submission to be examined again if no task of the step is waiting.
