Rank only the upstreams that a query can name

Cause: for each query to the policy service the owner sorted the pool's upstreams by position, examined each in full, and sorted all candidates, of which it names at most 40. Change: upstreams without room are left out by their free capacity alone, full ones are examined only if those with room do not fill the query, and only the candidates that a query can name are sorted. The 69 tests of the crate pass.

--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -40,6 +40,12 @@
         self.free.saturating_sub(&self.reserved)
     }
 
+    /// Returns the free capacity that is not reserved for other steps, once an amount has become
+    /// free.
+    pub fn free_with(&self, freed: &ResourceSize) -> ResourceSize {
+        (self.free + *freed).saturating_sub(&self.reserved)
+    }
+
     /// Returns the upstream's rack.
     pub fn rack(&self) -> Option<&Arc<str>> {
         self.labels.last()
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use crate::model::{PolicyTiming, ResourceSize};
-use crate::owner::fleet_view::{CapacityForecast, FleetView, UpstreamIndex, UpstreamView};
+use crate::owner::fleet_view::{CapacityForecast, FleetView, UpstreamView};
 use crate::owner::placement::PlacementRequest;
 use crate::owner::query_dispatcher::{PolicyQuery, QueryOutcome};
 use crate::owner::ready_list::ReadyStep;
@@ -185,15 +185,16 @@
         };
         let candidate =
             |position| query_candidate(now, request, step, &pool.upstreams, forecast, position);
+        let allocation = request.allocation();
+        let has_room = |position: &usize| {
+            let freed = &forecast.freed[*position];
+            allocation.fits(&pool.upstreams[*position].free_with(freed))
+        };
         // Few upstreams of a full pool have room, and most examinations end here.
-        let mut positions: Vec<_> = forecast
-            .positions_with_cpu(request.allocation().cpu_milli)
-            .collect();
-        positions.sort_unstable();
-        let mut candidates: Vec<_> = positions
-            .into_iter()
+        let mut candidates: Vec<_> = forecast
+            .positions_with_cpu(allocation.cpu_milli)
+            .filter(has_room)
             .filter_map(candidate)
-            .filter(|candidate| candidate.task_capacity > 0)
             .collect();
         let capacity_of = |candidates: &[QueryCandidate], known_allowed_only: bool| {
             candidates
@@ -210,19 +211,34 @@
         } else if capacity_of(&candidates, false) < needed_capacity {
             return Vec::new();
         } else {
-            candidates = (0..pool.upstreams.len())
+            let positions = 0..pool.upstreams.len();
+            candidates = positions
+                .clone()
+                .filter(has_room)
                 .filter_map(candidate)
-                .filter(|candidate| candidate.task_capacity > 0 || !candidate.known_allowed)
                 .collect();
+            // Full upstreams come after all others, except those near the data.
+            if candidates.len() < MAX_QUERIED_UPSTREAMS || request.spec().data_rack.is_some() {
+                candidates = positions
+                    .filter_map(candidate)
+                    .filter(|candidate| candidate.task_capacity > 0 || !candidate.known_allowed)
+                    .collect();
+            }
         }
-        candidates.sort_by_key(|candidate| {
+        let rank = |candidate: &QueryCandidate| {
             let task_capacity = std::cmp::Reverse(candidate.task_capacity.min(unplaced));
             (
                 !candidate.known_allowed,
                 !candidate.near_data,
                 task_capacity,
+                candidate.position,
             )
-        });
+        };
+        if candidates.len() > MAX_QUERIED_UPSTREAMS {
+            candidates.select_nth_unstable_by_key(MAX_QUERIED_UPSTREAMS, rank);
+            candidates.truncate(MAX_QUERIED_UPSTREAMS);
+        }
+        candidates.sort_unstable_by_key(rank);
         let cheap = cheap_upstream_count(service);
         let mut queried_capacity: u64 = 0;
         let mut queried = Vec::new();
@@ -336,13 +352,15 @@
     position: usize,
 ) -> Option<QueryCandidate> {
     let upstream = upstreams.get(position)?;
-    if !request.could_run(upstream, step) || has_ticket(step, upstream.index, now) {
+    let ticket = step.tickets.get(&upstream.index);
+    let has_valid_ticket = ticket.is_some_and(|ticket| now < ticket.expires_at);
+    if has_valid_ticket || !request.could_run(upstream, step) {
         return None;
     }
-    let free = (upstream.free + forecast.freed[position]).saturating_sub(&upstream.reserved);
+    let free = upstream.free_with(&forecast.freed[position]);
     Some(QueryCandidate {
         position,
-        known_allowed: step.tickets.contains_key(&upstream.index),
+        known_allowed: ticket.is_some(),
         near_data: request.is_near_data(upstream),
         task_capacity: free
             .slots_for(&request.allocation())
@@ -350,12 +368,6 @@
     })
 }
 
-fn has_ticket(step: &StepEntry, index: UpstreamIndex, now: u64) -> bool {
-    step.tickets
-        .get(&index)
-        .is_some_and(|ticket| now < ticket.expires_at)
-}
-
 /// Returns how many upstreams a query can name within `EXTRA_UPSTREAM_COST_SHARE`.
 #[expect(
     clippy::cast_possible_truncation,
