Look up submissions in flight instead of searching all lanes

Cause: to choose the entries of a commit, the queue compared each waiting submission with every submission in flight in each of the four lanes, up to 112 comparisons for each waiting change while the store is slow. Change: the submissions in flight are kept in one set.

--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -3,7 +3,7 @@
 //! Commits are sent in lanes. A lane is a sequence of commits, each of which is written only after
 //! the previous one.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::model::{ProgressRecord, SubmissionState};
@@ -116,6 +116,8 @@
     changes: BTreeMap<u64, Arc<str>>,
     sequence_by_id: HashMap<Arc<str>, u64>,
     lanes: [CommitLane; COMMIT_LANES],
+    /// Submissions of the commits in flight in all lanes.
+    in_flight: HashSet<Arc<str>>,
     /// Submissions that may only be committed in the given lane.
     pinned: HashMap<Arc<str>, usize>,
     /// Whether the next commit is sent without waiting for the commit interval.
@@ -210,6 +212,7 @@
         for sequence in sequences {
             if let Some(id) = self.changes.remove(&sequence) {
                 self.sequence_by_id.remove(&id);
+                self.in_flight.insert(id.clone());
                 chosen.submissions.insert(sequence, id);
             }
         }
@@ -219,14 +222,15 @@
 
     fn may_take(&self, lane: usize, id: &Arc<str>) -> bool {
         let pinned_here = self.pinned.get(id).is_none_or(|pinned| *pinned == lane);
-        let mut lanes = self.lanes.iter();
-        pinned_here && !lanes.any(|lane| lane.submissions.values().any(|sent| sent == id))
+        pinned_here && !self.in_flight.contains(id)
     }
 
     /// Abandons a commit that has nothing to write.
     pub fn abandon(&mut self, lane: usize) {
         if let Some(lane) = self.lanes.get_mut(lane) {
-            lane.submissions.clear();
+            for id in std::mem::take(&mut lane.submissions).values() {
+                self.in_flight.remove(id);
+            }
             lane.is_busy = false;
         }
     }
@@ -238,6 +242,9 @@
         };
         let sent = std::mem::take(&mut ended.submissions);
         ended.is_busy = false;
+        for id in sent.values() {
+            self.in_flight.remove(id);
+        }
         if stored {
             self.pinned.retain(|_, pinned| *pinned != lane);
             return sent.into_values().collect();
