--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -248,7 +248,7 @@
         }
         self.update_gang_checkpoint(&name, &finished.checkpoint);
         if matches!(finished.outcome, RunOutcome::Done | RunOutcome::Failed) {
-            self.mark_worked(&id);
+            self.mark_started(&id);
         }
         match finished.outcome {
             RunOutcome::Done => self.finish_task(now, upstream, &name),
@@ -489,10 +489,7 @@
                 }
                 self.update_gang_checkpoint(name, &report.checkpoint);
             }
-            if report.percent > 0 {
-                self.mark_worked(&name.submission);
-            }
-            self.mark_started(name);
+            self.mark_started(&name.submission);
             return true;
         }
         self.adopt_run(now, upstream, name, report)
@@ -512,6 +509,7 @@
             self.stop_unknown_run(upstream, name, report.attempt);
             return false;
         };
+        self.mark_started(&name.submission);
         let active = self
             .submissions
             .get(&name.submission)
@@ -531,10 +529,6 @@
             }
         }
         self.allocate(upstream, name, run);
-        if report.percent > 0 {
-            self.mark_worked(&name.submission);
-        }
-        self.mark_started(name);
         self.record_change(&name.submission, false);
         if !keep {
             let reason = if active {
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -6,8 +6,8 @@
 
 use std::sync::Arc;
 
-use crate::model::{RejectReason, StartOutcome, StopOutcome, SubmissionState, TaskName};
-use crate::owner::upstream_entry::{ContactState, RunEntry, RunPhase};
+use crate::model::{RejectReason, StartOutcome, StopOutcome, TaskName};
+use crate::owner::upstream_entry::{ContactState, RunPhase};
 use crate::owner::{OwnerEffect, OwnerMachine, StartOrder, StopOrder, StopReason};
 
 /// Maximum number of start orders for one attempt before it is withdrawn.
@@ -42,7 +42,7 @@
                     entry.hasten_renewal(now, &mut self.renewal_queue);
                     entry.answered_at = entry.answered_at.max(now);
                 }
-                self.mark_started(&order.task);
+                self.mark_started(&order.task.submission);
             }
             StartOutcome::Unknown => self.retry_start(now, order),
             StartOutcome::Rejected(RejectReason::Fenced) => self.step_down(),
@@ -61,47 +61,17 @@
         }
     }
 
-    /// Marks the submission of a task with a confirmed run as started. The tasks of a gang start
-    /// only when the runs of all of them are present.
-    pub(super) fn mark_started(&mut self, name: &TaskName) {
-        let waits = self
-            .submissions
-            .get(&name.submission)
-            .is_some_and(|entry| entry.state == SubmissionState::Queued);
-        if waits && self.is_gang_present(name) {
-            self.mark_worked(&name.submission);
-        }
-    }
-
-    /// Marks a submission as started because a task of it has worked.
-    pub(super) fn mark_worked(&mut self, id: &Arc<str>) {
+    /// Marks a submission as started.
+    pub(super) fn mark_started(&mut self, id: &Arc<str>) {
+        let queued = crate::model::SubmissionState::Queued;
         if let Some(entry) = self.submissions.get_mut(id)
-            && entry.state == SubmissionState::Queued
+            && entry.state == queued
         {
-            entry.state = SubmissionState::Running;
+            entry.state = crate::model::SubmissionState::Running;
             self.record_change(id, false);
         }
     }
 
-    /// Returns whether a run of each member of the task's gang is confirmed; true if its step is not
-    /// a gang.
-    fn is_gang_present(&self, name: &TaskName) -> bool {
-        let step = self
-            .submissions
-            .get(&name.submission)
-            .and_then(|entry| entry.record.steps.get(name.step as usize));
-        let Some(step) = step.filter(|step| step.gang) else {
-            return true;
-        };
-        let members = self.gang_runs(name);
-        members.len() == step.count as usize
-            && members.iter().all(|(member, upstream)| {
-                let entry = self.upstreams.get(upstream);
-                let run = entry.and_then(|entry| entry.runs.get(member));
-                run.is_some_and(RunEntry::is_present)
-            })
-    }
-
     /// Orders the same attempt again, or withdraws it.
     fn retry_start(&mut self, now: u64, order: &StartOrder) {
         let lease_ms = self.settings.task_lease_ms;
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -90,12 +90,6 @@
         self.confirmed_at = Some(now);
     }
 
-    /// Returns whether the upstream has confirmed or listed the run to this owner, and it is not
-    /// being stopped.
-    pub fn is_present(&self) -> bool {
-        self.phase == RunPhase::Running && self.percent_since > 0
-    }
-
     /// Returns whether the run is expected to end within a duration, based on its progress.
     fn ends_within(&self, now: u64, within_ms: u64) -> bool {
         if self.phase == RunPhase::Stopping {
