Notify the owner of submissions that are accepted when repeated

What callers may see: a submission accepted on its repetition does not count as waiting, and does not start, until the owner finds it in the store.

Cause: only the host whose write stored a submission notified the owner. If its request ran into its deadline after the write, or the host was lost, nobody did: the repetition elsewhere was answered "already stored". The owner then relied on the watch; one that hears nothing counts as complete unless a notice contradicts it.

Change: a host that finds a submission stored reads its record and notifies the owner, after it has answered. The owner ignores what it knows, and what was stored before its takeover; an ended submission has no record.

Evidence: owner_learns_of_a_submission_from_its_repetition was seen to fail before (the owner does not know it).

--- a/crates/host/src/entry/entry_service.rs
+++ b/crates/host/src/entry/entry_service.rs
@@ -195,12 +195,30 @@
                 });
                 EntryResponse::Accepted
             }
-            StoreOutcome::AlreadyStored(_) => EntryResponse::Accepted,
+            StoreOutcome::AlreadyStored(_) => {
+                // The host that stored it may not have notified the owner.
+                tokio::spawn(self.clone().announce_stored(id));
+                EntryResponse::Accepted
+            }
             StoreOutcome::NotStored | StoreOutcome::Ended => refusal(RefusalReason::NoStore),
             StoreOutcome::Unknown => EntryResponse::Unsettled,
         }
     }
 
+    /// Notifies the owner of a submission that an earlier request stored, unless it has ended.
+    async fn announce_stored(self, id: String) {
+        match self.store.record(&id).await {
+            Ok(item) => self.notifier.notify_submitted(NewSubmission {
+                record: item.value.into(),
+                create_revision: item.create_revision,
+            }),
+            Err(StoreError::NotFound) => {}
+            Err(error) => {
+                log::warn!(target: "lagoonnotch", "failed to read submission {id} to notify the owner: {error:?}");
+            }
+        }
+    }
+
     fn count(&self, queue: &QueuePolicy) -> EntryResponse {
         let waiting = self.view.waiting_count(&queue.name);
         let Some(waiting) = waiting.filter(|waiting| waiting.age_ms <= MAX_COUNT_AGE_MS) else {
--- a/crates/host/src/store/submission_store.rs
+++ b/crates/host/src/store/submission_store.rs
@@ -101,14 +101,22 @@
         StoreOutcome::Unknown
     }
 
+    /// Returns the record of a submission that has not ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::NotFound`] if the store has no such submission.
+    pub async fn record(&self, id: &str) -> Result<StoreItem, StoreError> {
+        (self.store.read)(submission_key(id)).await
+    }
+
     /// Returns the revision of the record of a submission that has not ended.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError::NotFound`] if the store has no such submission.
     pub async fn revision(&self, id: &str) -> Result<u64, StoreError> {
-        let item = (self.store.read)(submission_key(id)).await?;
-        Ok(item.revision)
+        Ok(self.record(id).await?.revision)
     }
 
     /// Returns the state of a submission; [`StoreError::NotFound`] only if the store currently has
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -16,6 +16,7 @@
 mod owners;
 mod peer_messages;
 mod relay;
+mod repeated_submissions;
 mod revisions;
 mod settings;
 mod submissions;
