--- a/crates/fleet/src/owner/deferred_queries.rs
+++ b/crates/fleet/src/owner/deferred_queries.rs
@@ -34,7 +34,7 @@
 impl OwnerMachine {
     /// Returns how many tasks of a size would fit into the capacity of a pool that steps with
     /// queries in flight are expected to use.
-    pub(super) fn spoken_for(&self, pool: &Arc<str>, allocation: &ResourceSize) -> f64 {
+    pub(super) fn tasks_in_expected_use(&self, pool: &Arc<str>, allocation: &ResourceSize) -> f64 {
         self.queries.expected_use(pool).dominant_share(allocation)
     }
 
--- a/crates/fleet/src/owner/gang_placement.rs
+++ b/crates/fleet/src/owner/gang_placement.rs
@@ -216,8 +216,8 @@
             self.can_claim_soon(now, ready, request, slots, wanted, view)
         } else {
             let undecided = slots.iter().filter(|slot| !slot.allowed);
-            let spoken_for = self.spoken_for(&ready.queue.pool, &allocation);
-            (as_f64(sum_tasks(undecided)) - spoken_for) * share >= as_f64(missing)
+            let tasks_in_expected_use = self.tasks_in_expected_use(&ready.queue.pool, &allocation);
+            (as_f64(sum_tasks(undecided)) - tasks_in_expected_use) * share >= as_f64(missing)
         };
         let expected_use = if full_too {
             ResourceSize::ZERO
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -273,13 +273,13 @@
             expected_tasks += as_f64(candidate.task_capacity.min(unplaced)) * likelihood;
             queried.push(pool.upstreams[candidate.position].id.clone());
         }
-        let spoken_for = self.spoken_for(&ready.queue.pool, &allocation);
+        let tasks_in_expected_use = self.tasks_in_expected_use(&ready.queue.pool, &allocation);
         (!queried.is_empty()).then(|| QueryPlan {
             upstreams: queried,
             in_parallel: false,
             expected_use: allocation.saturating_mul(whole_tasks(expected_tasks).min(unplaced)),
             has_room: request.spec().long_running
-                || as_f64(total_capacity) >= spoken_for + as_f64(needed_capacity),
+                || as_f64(total_capacity) >= tasks_in_expected_use + as_f64(needed_capacity),
         })
     }
 
