Bound the wait of the readiness test

Cause: host_without_a_document_is_not_ready_although_it_knows_the_owner waited without a bound for the host to learn of the owner, so that a regression there would hang the run instead of failing the test.

Change: it polls as often as the cell's other waits do, and then fails. What it checks is unchanged.

--- a/crates/lagoonnotch/tests/daemon/cell.rs
+++ b/crates/lagoonnotch/tests/daemon/cell.rs
@@ -185,6 +185,17 @@
             .count()
     }
 
+    /// Waits until the first host knows a shard owner.
+    pub async fn wait_until_owner_known(&self) {
+        for _ in 0..MAX_POLLS {
+            if self.owner_count(&self.hosts[0]).await > 0 {
+                return;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        panic!("the host did not learn of an owner");
+    }
+
     /// Waits until every host is ready and knows this number of shard owners.
     pub async fn wait_until_ready(&self, owner_count: usize) {
         for _ in 0..MAX_POLLS {
--- a/crates/lagoonnotch/tests/daemon/readiness.rs
+++ b/crates/lagoonnotch/tests/daemon/readiness.rs
@@ -64,9 +64,7 @@
         .await;
     reply.expect("the host replies");
 
-    while cell.owner_count(&cell.hosts[0]).await == 0 {
-        tokio::task::yield_now().await;
-    }
+    cell.wait_until_owner_known().await;
     let ready_without = cell.is_ready(1).await;
     let readiness = call(late.caller_address, Request::get("/readyz"), "").await;
     let refused = cell
