Add a failing test of runs whose upstream and owner are lost together

Callers see a long-running task that does not run for 14 s although there is room. The test loses the upstream of such a task and, 0.1 s later, the owner, and lets another host take over 1.9 s later. The task must be back within 10 s: 3 s until hosts count as calm, 4 s of calm and 3 s without a run.

The simulation can now lose an owner for good, which a successor can't tell from one that is only cut off.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod inventory;
 mod large_fleet;
 mod lease_expiry;
+mod lost_owner;
 mod promises;
 mod quarantine;
 mod recovery;
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -91,6 +91,8 @@
     pub owner: Option<OwnerMachine>,
     /// An owner that was replaced and does not know it yet, and the time until which it acts.
     pub previous: Option<(OwnerMachine, u64)>,
+    /// Whether the last owner was lost, so that it does not confirm that it stepped down.
+    pub predecessor_lost: bool,
     pub upstreams: BTreeMap<Arc<str>, SimulatedUpstream>,
     /// Upstreams that no message reaches, and until when.
     pub partitioned: HashMap<Arc<str>, u64>,
@@ -169,6 +171,7 @@
             faults: FaultRates::default(),
             owner: None,
             previous: None,
+            predecessor_lost: false,
             upstreams,
             partitioned: HashMap::new(),
             cut_off_from_store: HashMap::new(),
@@ -235,9 +238,14 @@
                 roster_written_by: self.roster_written_at + self.roster_sighting_delay_ms,
                 revision: self.revision,
                 stale_cancels: Vec::new(),
-                previous_owner_active_ms: if self.previous.is_some() { 6000 } else { 0 },
+                previous_owner_active_ms: if self.previous.is_some() || self.predecessor_lost {
+                    6000
+                } else {
+                    0
+                },
             },
         );
+        self.predecessor_lost = false;
         let hosts = (0..self.query_hosts).map(|number| Arc::from(format!("host{number}")));
         owner.set_query_hosts(&hosts.collect());
         self.owner = Some(owner);
