Report for which silent upstreams runs are held, until when and why

Cause: a new owner keeps the runs of upstreams that do not answer until their leases must have expired. Nothing said which upstreams these are, how the time is made up, or how the wait ended, so three explanations of long-running tasks that are away for 15 s could not be told apart.

Change: event 1044 gives the bound at a takeover and its terms, 1045 whether the predecessor confirmed that it stepped down, 1046 each silent upstream with runs, the remaining time and where it comes from, 1047 how that ended. lagoonnotch_held_runs counts the runs. No decision changes.

--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{CrashScope, TaskName};
-use crate::owner::{CommitBatch, StopReason};
+use crate::owner::{CommitBatch, HeldRuns, HeldRunsRelease, RecoveryBound, StopReason};
 
 /// An order to renew an upstream's leases; the reply lists running and finished runs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -133,6 +133,12 @@
     ReportCrash(CrashReport),
     /// Report that a draining upstream is no longer listed.
     ReportUnlisted(UnlistedReport),
+    /// Report how long runs of silent upstreams are held after the takeover.
+    ReportRecovery(RecoveryBound),
+    /// Report that the runs of a silent upstream stay allocated.
+    ReportHeldRuns(HeldRuns),
+    /// Report that runs are no longer held.
+    ReportRelease(HeldRunsRelease),
     /// Stop acting as the owner: another host has used a higher epoch.
     StepDown,
 }
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -9,7 +9,7 @@
 use crate::model::{FinishedRun, RenewReply, RunOutcome, RunReport, SubmissionState, TaskName};
 use crate::owner::submission_entry::{OccurrenceEntry, SubmissionEntry, TaskPhase};
 use crate::owner::upstream_entry::{ClockReading, RunPhase};
-use crate::owner::{OwnerMachine, StopReason};
+use crate::owner::{LeaseTerm, OwnerMachine, ReleaseCause, StopReason};
 
 /// Number of submissions with failed runs after which an upstream is quarantined; a completed run
 /// resets the count.
@@ -47,6 +47,14 @@
             entry.schedule_renewal(now, &mut self.renewal_queue);
             return;
         }
+        let placed_on = entry.runs_incarnation;
+        let is_same = placed_on.is_none_or(|placed_on| placed_on == reply.incarnation_unix_ms);
+        let cause = if is_same {
+            ReleaseCause::Answered
+        } else {
+            ReleaseCause::OtherIncarnation
+        };
+        self.effects.extend(entry.end_held_runs(now, cause));
         let fell_at = entry.silent_since.take().unwrap_or(now);
         let victims = entry.take_crash_victims(reply);
         if restarted {
@@ -117,7 +125,7 @@
     pub fn on_other_incarnation(&mut self, now: u64, upstream: &Arc<str>, address: &str) {
         let entry = self.upstreams.get_mut(upstream);
         let Some(entry) = entry.filter(|entry| &*entry.report.address != address) else {
-            self.on_incarnation_ended(now, upstream);
+            self.on_incarnation_ended(now, upstream, ReleaseCause::OtherIncarnation);
             return;
         };
         entry.renewal_in_flight = false;
@@ -125,9 +133,15 @@
     }
 
     /// Handles the end of an upstream's incarnation: none of its runs exist any more.
-    pub(super) fn on_incarnation_ended(&mut self, now: u64, upstream: &Arc<str>) {
+    pub(super) fn on_incarnation_ended(
+        &mut self,
+        now: u64,
+        upstream: &Arc<str>,
+        cause: ReleaseCause,
+    ) {
         let entry = self.upstreams.get_mut(upstream);
         let (fell_at, victims) = entry.map_or((now, Vec::new()), |entry| {
+            self.effects.extend(entry.end_held_runs(now, cause));
             let fell_at = entry.silent_since.take().unwrap_or(now);
             (fell_at, entry.take_ended_victims())
         });
@@ -141,6 +155,7 @@
             entry.renewal_in_flight = false;
             entry.run_list_incarnation = None;
             entry.leases_expire_at = 0;
+            entry.lease_term = LeaseTerm::OwnLeases;
             let at = now + self.settings.idle_renewal_interval_ms;
             entry.schedule_renewal(at, &mut self.renewal_queue);
         }
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod effect;
 mod fleet_view;
 mod gang_placement;
+mod held_runs;
 mod inventory;
 mod order_outcome;
 mod owner_machine;
@@ -42,6 +43,7 @@
 pub use effect::{
     CrashReport, OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder, UnlistedReport,
 };
+pub use held_runs::{HeldRuns, HeldRunsRelease, LeaseTerm, RecoveryBound, ReleaseCause};
 pub use owner_machine::OwnerMachine;
 pub use owner_settings::OwnerSettings;
 pub use query_dispatcher::{PolicyDecision, QueryOutcome};
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -17,7 +17,7 @@
 use crate::owner::slot_claims::ClaimTable;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
 use crate::owner::upstream_entry::{DirectoryPresence, RunEntry, RunPhase, UpstreamEntry};
-use crate::owner::{OwnerEffect, OwnerSettings, RosterEntry, UnlistedReport};
+use crate::owner::{OwnerEffect, OwnerSettings, ReleaseCause, RosterEntry, UnlistedReport};
 
 /// Fraction of the difference to the fleet's mean by which an upstream's slowdown is corrected with
 /// each of its reports.
@@ -56,6 +56,8 @@
     pub(super) next_sweep_at: u64,
     /// Number of allocated runs on all upstreams.
     pub(super) run_count: usize,
+    /// Number of runs on silent upstreams at the last sweep.
+    pub(super) held_run_count: usize,
     /// Resources in use by each team; equals the sum over all runs.
     pub(super) team_usage: HashMap<Arc<str>, ResourceSize>,
     pub(super) ready: ReadyList,
@@ -120,6 +122,7 @@
             uncommitted_upstreams: BTreeSet::new(),
             next_sweep_at: 0,
             run_count: 0,
+            held_run_count: 0,
             team_usage: HashMap::new(),
             ready: ReadyList::default(),
             claims: ClaimTable::default(),
@@ -243,7 +246,7 @@
                 has_left,
             }));
         if has_left {
-            self.on_incarnation_ended(now, id);
+            self.on_incarnation_ended(now, id, ReleaseCause::Departed);
         }
     }
 
@@ -339,6 +342,12 @@
         (self.active.len(), self.run_count)
     }
 
+    /// Returns the number of runs that are allocated on silent upstreams.
+    #[must_use]
+    pub fn held_run_count(&self) -> usize {
+        self.held_run_count
+    }
+
     /// Returns the number of upstreams.
     #[must_use]
     pub fn upstream_count(&self) -> usize {
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -13,7 +13,9 @@
 use crate::owner::upstream_entry::{
     ContactState, DirectoryPresence, RunEntry, RunPhase, UpstreamEntry,
 };
-use crate::owner::{OwnerEffect, OwnerMachine, UnlistedReport};
+use crate::owner::{
+    LeaseTerm, OwnerEffect, OwnerMachine, RecoveryBound, ReleaseCause, UnlistedReport,
+};
 
 /// An upstream that may hold leases.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -104,10 +106,8 @@
         self.took_over_at = now;
         // As in `grant_lease`, 1021 thousandths allow for a slow upstream clock; 300 ms are a
         // margin.
-        self.recovery_ends_at = now
-            + recovered.previous_owner_active_ms
-            + self.settings.task_lease_ms * 1021 / 1000
-            + 300;
+        let task_lease_ms = self.settings.task_lease_ms * 1021 / 1000 + 300;
+        self.recovery_ends_at = now + recovered.previous_owner_active_ms + task_lease_ms;
         self.recovered_revision = recovered.revision;
         self.stale_cancels.extend(recovered.stale_cancels);
         for roster_entry in recovered.roster {
@@ -116,12 +116,31 @@
         for stored in recovered.submissions {
             self.restore_submission(now, stored);
         }
+        self.report_recovery(now, recovered.previous_owner_active_ms, task_lease_ms);
         for departed in recovered.departed {
             self.release_departed(now, &departed);
         }
         self.request_placement();
     }
 
+    /// Reports how long runs of silent upstreams are held, and the terms of this time.
+    fn report_recovery(&mut self, now: u64, previous_owner_active_ms: u64, task_lease_ms: u64) {
+        let entries = || self.upstreams.values();
+        let silent = entries().filter(|entry| entry.contact == ContactState::RecordedSilent);
+        let stored_bound = entries().filter(|entry| entry.lease_term == LeaseTerm::StoredBound);
+        let bound = RecoveryBound {
+            generation: self.generation,
+            upstream_count: self.awaiting_first_reply.len(),
+            run_count: self.run_count,
+            held_for_ms: self.recovery_ends_at - now,
+            previous_owner_active_ms,
+            task_lease_ms,
+            silent_count: silent.count(),
+            stored_bound_count: stored_bound.count(),
+        };
+        self.effects.push(OwnerEffect::ReportRecovery(bound));
+    }
+
     fn restore_upstream(&mut self, now: u64, roster_written_by: u64, roster_entry: RosterEntry) {
         let id = roster_entry.id.clone();
         let index = self.next_index();
@@ -144,12 +163,16 @@
         entry.runs_incarnation = Some(roster_entry.incarnation_unix_ms);
         entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.leases_expire_at = self.recovery_ends_at;
+        entry.lease_term = LeaseTerm::EarlierLeases;
         if roster_entry.is_silent() {
             let bound = roster_entry.lease_bound;
             let bound = bound.filter(|bound| bound.generation + 1 == self.generation);
             if let Some(bound) = bound {
                 let expire_at = roster_written_by + bound.remaining_ms;
-                entry.leases_expire_at = entry.leases_expire_at.min(expire_at);
+                if expire_at < entry.leases_expire_at {
+                    entry.leases_expire_at = expire_at;
+                    entry.lease_term = LeaseTerm::StoredBound;
+                }
             }
             entry.contact = ContactState::RecordedSilent;
             // The next owner can use only a bound that this one wrote.
@@ -173,7 +196,7 @@
                 run_count: entry.runs.len(),
                 has_left: true,
             }));
-        self.on_incarnation_ended(now, &departed.id);
+        self.on_incarnation_ended(now, &departed.id, ReleaseCause::Departed);
     }
 
     fn restore_submission(&mut self, now: u64, stored: StoredSubmission) {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -8,8 +8,8 @@
 };
 use crate::owner::upstream_entry::{ContactState, DirectoryPresence, RunPhase};
 use crate::owner::{
-    CommitBatch, CommitOutcome, EndedSubmission, LeaseBound, OwnerEffect, OwnerMachine, RenewOrder,
-    RosterEntry, StopOrder, StopReason,
+    CommitBatch, CommitOutcome, EndedSubmission, LeaseBound, OwnerEffect, OwnerMachine,
+    ReleaseCause, RenewOrder, RosterEntry, StopOrder, StopReason,
 };
 
 /// Time between two searches for silent upstreams and expired leases, in milliseconds.
@@ -104,6 +104,12 @@
             self.awaiting_first_reply.remove(&id);
             if let Some(entry) = self.upstreams.get_mut(&id) {
                 entry.expired_runs = entry.crash_victims();
+                // The leases may expire before the upstream is found to be silent.
+                if entry.answered_at == 0 && !entry.runs.is_empty() {
+                    entry.held_since.get_or_insert(self.took_over_at);
+                }
+                let report = entry.end_held_runs(now, ReleaseCause::LeasesExpired);
+                self.effects.extend(report);
             }
             self.release_all(now, &id);
             let not_in_directory = self
@@ -124,11 +130,17 @@
         let stored_sequence = self.commits.stored_sequence();
         let mut became_silent = Vec::new();
         let mut changed = false;
+        self.held_run_count = 0;
         for (id, entry) in &mut self.upstreams {
             let heard_at = entry.answered_at.max(self.took_over_at);
             let silent =
                 now.saturating_sub(heard_at) > SILENCE_TIMEOUT_MS && entry.leases_expire_at > now;
             let holds_leases = !entry.runs.is_empty();
+            let report = entry.update_held_runs(now, silent.then_some(heard_at));
+            self.effects.extend(report);
+            if silent {
+                self.held_run_count += entry.runs.len();
+            }
             match entry.contact {
                 ContactState::Responsive if silent && holds_leases => {
                     let runs = entry.runs.keys().map(|name| name.submission.clone());
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use crate::model::{ResourceSize, TaskName, UpstreamReport};
-use crate::owner::StopReason;
 use crate::owner::crash_suspects::CrashVictim;
 use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::UpstreamIndex;
+use crate::owner::{LeaseTerm, StopReason};
 
 /// Factor from a duration on an upstream's clock to the longest possible duration on the owner's
 /// clock, in thousandths: the upstream's clock may run 2 % slow (1000 / 980, rounded up).
@@ -152,6 +152,11 @@
     pub clock: Option<ClockReading>,
     /// Time by which every lease has expired if the upstream stays silent.
     pub leases_expire_at: u64,
+    /// Where `leases_expire_at` comes from.
+    pub lease_term: LeaseTerm,
+    /// Time of the last answer, or of the takeover, if the upstream is silent and its runs were
+    /// reported as held.
+    pub held_since: Option<u64>,
     pub runs: BTreeMap<TaskName, RunEntry>,
     pub allocated: ResourceSize,
     /// Number of the last finished run that was processed.
@@ -209,6 +214,8 @@
             run_list_incarnation: None,
             clock: None,
             leases_expire_at: 0,
+            lease_term: LeaseTerm::OwnLeases,
+            held_since: None,
             runs: BTreeMap::new(),
             allocated: ResourceSize::ZERO,
             last_finished_number: 0,
@@ -256,7 +263,10 @@
         let remaining = since + lease_ms;
         let expiry =
             clock.received_at + remaining * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS;
-        self.leases_expire_at = self.leases_expire_at.max(expiry);
+        if expiry > self.leases_expire_at {
+            self.leases_expire_at = expiry;
+            self.lease_term = LeaseTerm::OwnLeases;
+        }
         Some(clock.clock_ms + remaining)
     }
 
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod exclusions;
 mod fixtures;
 mod gangs;
+mod held_runs;
 mod inherited_runs;
 mod invariant_checks;
 mod inventory;
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -8,9 +8,9 @@
     StopOutcome, SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, OwnerEffect, OwnerMachine,
-    OwnerSettings, PolicyDecision, QueryOutcome, RecoveredState, RenewOrder, RosterEntry,
-    StartOrder, StopOrder, StoredSubmission,
+    CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, HeldRuns, HeldRunsRelease,
+    OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision, QueryOutcome, RecoveredState,
+    RecoveryBound, RenewOrder, RosterEntry, StartOrder, StopOrder, StoredSubmission,
 };
 
 use crate::fixtures::{directory_read, report};
@@ -148,6 +148,12 @@
     pub deadly: BTreeSet<TaskName>,
     /// Crashes that the owner reported.
     pub crashes: Vec<CrashReport>,
+    /// Bounds on the leases of earlier owners that new owners reported.
+    pub recovery_bounds: Vec<RecoveryBound>,
+    /// Runs on silent upstreams that the owner reported as held.
+    pub held: Vec<HeldRuns>,
+    /// Reported ends of such waits.
+    pub releases: Vec<HeldRunsRelease>,
 }
 
 impl FleetSimulation {
@@ -202,6 +208,9 @@
             store_unavailable: false,
             deadly: BTreeSet::new(),
             crashes: Vec::new(),
+            recovery_bounds: Vec::new(),
+            held: Vec::new(),
+            releases: Vec::new(),
         }
     }
 
@@ -416,6 +425,9 @@
                 self.push(500, Message::QueryDone(epoch, order.query_id, answer));
             }
             OwnerEffect::ReportCrash(report) => self.crashes.push(report),
+            OwnerEffect::ReportRecovery(bound) => self.recovery_bounds.push(bound),
+            OwnerEffect::ReportHeldRuns(held) => self.held.push(held),
+            OwnerEffect::ReportRelease(release) => self.releases.push(release),
             OwnerEffect::ReportUnlisted(_) | OwnerEffect::StepDown => {}
         }
     }
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -189,10 +189,12 @@
         let effects = ownership.machine.take_effects();
         let due = ownership.machine.next_due_at(now, unix, may_act);
         let (submissions, runs) = ownership.machine.counts();
+        let held_runs = ownership.machine.held_run_count();
         let has_stepped_down = ownership.machine.has_stepped_down();
         self.run_effects(now, epoch, valid_until, effects);
         let due = due.min(self.forwarder.next_due_at());
         self.metrics.set_load(submissions, runs);
+        self.metrics.set_held_runs(held_runs);
         if has_stepped_down {
             self.end_ownership("another host used a higher epoch");
             return;
@@ -225,6 +227,7 @@
             let epoch = ownership.machine.epoch();
             FleetEvent::OwnershipEnded.emit(json!({"epoch": epoch, "reason": reason}));
             self.metrics.set_epoch(0);
+            self.metrics.set_held_runs(0);
             self.view.set_owned_epoch(None);
         }
     }
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -5,8 +5,9 @@
 
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
-    AdviceLoad, CommitBatch, CommitOutcome, CrashReport, OwnerEffect, PolicyDecision, QueryOrder,
-    QueryOutcome, RenewOrder, StartOrder, StopOrder, UnlistedReport,
+    AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease, OwnerEffect,
+    PolicyDecision, QueryOrder, QueryOutcome, RecoveryBound, RenewOrder, StartOrder, StopOrder,
+    UnlistedReport,
 };
 use serde_json::json;
 
@@ -82,6 +83,9 @@
             }
             OwnerEffect::ReportCrash(report) => self.report_crash(&report),
             OwnerEffect::ReportUnlisted(report) => report_unlisted(&report),
+            OwnerEffect::ReportRecovery(bound) => report_recovery(epoch, &bound),
+            OwnerEffect::ReportHeldRuns(held) => report_held_runs(epoch, &held),
+            OwnerEffect::ReportRelease(release) => report_release(epoch, &release),
             OwnerEffect::StepDown => {}
         }
     }
@@ -385,3 +389,40 @@
         "has_left": report.has_left,
     }));
 }
+
+fn report_recovery(epoch: u64, bound: &RecoveryBound) {
+    FleetEvent::RecoveryBounded.emit(json!({
+        "epoch": epoch,
+        "generation": bound.generation,
+        "roster": bound.upstream_count,
+        "runs": bound.run_count,
+        "held_for_ms": bound.held_for_ms,
+        "previous_owner_active_ms": bound.previous_owner_active_ms,
+        "task_lease_ms": bound.task_lease_ms,
+        "silent": bound.silent_count,
+        "stored_bounds": bound.stored_bound_count,
+    }));
+}
+
+fn report_held_runs(epoch: u64, held: &HeldRuns) {
+    FleetEvent::RunsHeld.emit(json!({
+        "epoch": epoch,
+        "upstream": held.upstream,
+        "runs": held.run_count,
+        "long_running": held.long_running_count,
+        "silent_ms": held.silent_ms,
+        "held_for_ms": held.held_for_ms,
+        "term": held.term.label(),
+    }));
+}
+
+fn report_release(epoch: u64, release: &HeldRunsRelease) {
+    FleetEvent::HeldRunsReleased.emit(json!({
+        "epoch": epoch,
+        "upstream": release.upstream,
+        "runs": release.run_count,
+        "held_ms": release.held_ms,
+        "term": release.term.label(),
+        "cause": release.cause.label(),
+    }));
+}
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -106,6 +106,18 @@
     OwnershipEnded = 1042, Warn;
     /// The owner's lease may have expired: nothing is started or renewed.
     StartsSuspended = 1043, Warn;
+    /// How long a new owner holds the runs of upstreams that do not answer, and the terms of this
+    /// time.
+    RecoveryBounded = 1044, Info;
+    /// The host that replaces an owner asked it to step down: whether it confirmed this, and
+    /// otherwise how long it may act without knowing that it was replaced.
+    StepDownRequested = 1045, Info;
+    /// An upstream became silent or did not answer after a takeover, and its runs stay allocated
+    /// until their leases have expired.
+    RunsHeld = 1046, Warn;
+    /// The runs of a silent upstream are no longer held; those that do not run on it wait to be
+    /// started again.
+    HeldRunsReleased = 1047, Info;
     /// The policy service returned a decision: the upstreams that may run a step.
     AdviceTaken = 1050, Info;
     /// The policy service returned no usable decision.
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -78,6 +78,7 @@
     forwarded_renewals: Family<KindLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
+    held_runs: Gauge<u64, AtomicU64>,
     owner_epoch: Gauge<u64, AtomicU64>,
     config_version: Gauge<u64, AtomicU64>,
     timer_delay_seconds: Histogram,
@@ -96,6 +97,7 @@
             forwarded_renewals: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
+            held_runs: Gauge::default(),
             owner_epoch: Gauge::default(),
             config_version: Gauge::default(),
             timer_delay_seconds: Histogram::new(exponential_buckets(
@@ -141,6 +143,11 @@
             "Booked runs, at the owner",
             self.booked_runs.clone(),
         );
+        registry.register(
+            "held_runs",
+            "Runs allocated on silent upstreams, at the owner",
+            self.held_runs.clone(),
+        );
         registry.register(
             "owner_epoch",
             "Epoch of this host's ownership; 0 for none",
@@ -204,6 +211,12 @@
         self.booked_runs.set(runs as u64);
     }
 
+    /// Sets the number of runs that are allocated on silent upstreams; 0 if this host is not the
+    /// owner.
+    pub fn set_held_runs(&self, runs: usize) {
+        self.held_runs.set(runs as u64);
+    }
+
     /// Sets the epoch of this host's ownership; 0 if it is not the owner.
     pub fn set_epoch(&self, epoch: u64) {
         self.owner_epoch.set(epoch);
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -332,6 +332,15 @@
         };
         let age_ms = now_ms().saturating_sub(written_by);
         let previous_owner_active_ms = effective_totals.remaining_acting_ms(age_ms);
+        if let Some(previous_record) = previous_host_record {
+            FleetEvent::StepDownRequested.emit(json!({
+                "epoch": epoch,
+                "predecessor": previous_record.host,
+                "confirmed": predecessor_stopped,
+                "waited_ms": now_ms().saturating_sub(claimed_by),
+                "previous_owner_active_ms": previous_owner_active_ms,
+            }));
+        }
         self.maintain_ownership(
             epoch,
             &record,
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -11,6 +11,7 @@
 mod fake_store;
 mod fixtures;
 mod forwarding;
+mod held_runs;
 mod incomplete_counts;
 mod notices;
 mod owners;
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -372,6 +372,9 @@
                 OwnerEffect::Commit(batch) => self.push(COMMIT_MS, Event::Commit(epoch, batch)),
                 OwnerEffect::Query(order) => self.query_policy(epoch, &order),
                 OwnerEffect::ReportCrash(_)
+                | OwnerEffect::ReportHeldRuns(_)
+                | OwnerEffect::ReportRecovery(_)
+                | OwnerEffect::ReportRelease(_)
                 | OwnerEffect::ReportUnlisted(_)
                 | OwnerEffect::StepDown => {}
             }
