Bound leases by the owner's last commit instead of by the claim

Callers saw long-running tasks that did not run for 14 to 15 s after their upstream and the owner were lost together. A new owner waited for the sum of two bounds, both counted from its claim: 6 s in which its predecessor might act, and 6.4 s for a task lease granted at the end of them.

An owner now grants leases that have expired 8.5 s after it sent its last stored commit, or its claim. A successor reads the revisions of the last commits after its claim was stored, since when no earlier owner can commit; its log of revisions tells by when they had been stored. So there is one term, and it counts from the last sign of the lost owner and not from the claim. An owner that commits grants full leases as before. The totals say that the owner bounds its leases; beside owners of the earlier version the old terms hold.

--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -178,6 +178,11 @@
         sent.max().unwrap_or(0)
     }
 
+    /// Returns the time at which the last commit of a lane was sent.
+    pub fn sent_at(&self, lane: usize) -> u64 {
+        self.lanes.get(lane).map_or(0, |lane| lane.last_sent_at)
+    }
+
     /// Takes the submissions of a lane's next commit, by priority and then oldest change first, up
     /// to the maximum number of entries.
     pub fn take(
--- a/crates/fleet/src/owner/held_runs.rs
+++ b/crates/fleet/src/owner/held_runs.rs
@@ -58,7 +58,7 @@
 }
 
 /// How long a new owner holds the runs of upstreams that do not answer, and the terms of this time.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RecoveryBound {
     /// Number of owners before this one.
     pub generation: u32,
@@ -73,6 +73,9 @@
     /// Longest possible duration of a task lease that an earlier owner grants at the end of that
     /// time, with all margins, in milliseconds.
     pub task_lease_ms: u64,
+    /// Time until every lease has expired according to the last commits of earlier owners, in
+    /// milliseconds; `None` if it does not follow from them.
+    pub commit_bound_ms: Option<u64>,
     /// Number of upstreams that the roster records as silent.
     pub silent_count: usize,
     /// Number of these whose leases expire earlier according to the roster.
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -74,7 +74,7 @@
 
     /// Orders the same attempt again, or withdraws it.
     fn retry_start(&mut self, now: u64, order: &StartOrder) {
-        let lease_ms = self.settings.task_lease_ms;
+        let terms = self.lease_terms();
         let Some(entry) = self.upstreams.get_mut(&order.upstream) else {
             return;
         };
@@ -89,7 +89,7 @@
             return;
         }
         run.start_orders += 1;
-        let deadline = entry.grant_lease(now, lease_ms);
+        let deadline = entry.grant_lease(now, terms);
         let mut again = order.clone();
         again.deadline_ms = deadline.unwrap_or(order.deadline_ms);
         self.effects.push(OwnerEffect::Start(again));
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -16,7 +16,9 @@
 use crate::owner::ready_list::ReadyList;
 use crate::owner::slot_claims::ClaimTable;
 use crate::owner::submission_entry::{SubmissionEntry, TaskEntry, TaskPhase};
-use crate::owner::upstream_entry::{DirectoryPresence, RunEntry, RunPhase, UpstreamEntry};
+use crate::owner::upstream_entry::{
+    DirectoryPresence, LeaseTerms, RunEntry, RunPhase, UpstreamEntry,
+};
 use crate::owner::{OwnerEffect, OwnerSettings, ReleaseCause, RosterEntry, UnlistedReport};
 
 /// Fraction of the difference to the fleet's mean by which an upstream's slowdown is corrected with
@@ -79,6 +81,9 @@
     pub(super) took_over_at: u64,
     /// Time by which every lease of earlier owners has expired.
     pub(super) recovery_ends_at: u64,
+    /// Time after which the store showed that this host is the owner: when it requested its claim,
+    /// or sent the last commit that was stored.
+    pub(super) confirmed_at: u64,
     pub(super) roster_changed: bool,
     /// Submissions whose final states are to be deleted from the store.
     pub(super) expired_results: VecDeque<Arc<str>>,
@@ -135,6 +140,7 @@
             isolation_ends_at: 0,
             took_over_at: 0,
             recovery_ends_at: 0,
+            confirmed_at: 0,
             roster_changed: false,
             expired_results: VecDeque::new(),
             stale_cancels: VecDeque::new(),
@@ -148,6 +154,15 @@
         }
     }
 
+    /// Returns the terms of a lease that is granted now. A successor knows when the last commit was
+    /// stored, and so by when every lease has expired.
+    pub(super) fn lease_terms(&self) -> LeaseTerms {
+        LeaseTerms {
+            duration_ms: self.settings.task_lease_ms,
+            expires_by: self.confirmed_at + self.settings.lease_bound_ms,
+        }
+    }
+
     /// Requests placement passes because a change may have made a start possible.
     pub(super) fn request_placement(&mut self) {
         self.placement.request();
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -6,6 +6,9 @@
     /// Duration of task leases, in milliseconds of the upstream's clock; at most what upstreams
     /// grant.
     pub task_lease_ms: u64,
+    /// Time by which every lease has expired since the owner last confirmed its ownership with a
+    /// commit, in milliseconds of its own clock.
+    pub lease_bound_ms: u64,
     /// How long an upstream may delay its reply to a renewal until a run finishes, in milliseconds.
     pub renewal_wait_ms: u64,
     /// Value of `renewal_wait_ms` for upstreams with urgent runs. It is shorter because a lost
@@ -38,6 +41,7 @@
     fn default() -> Self {
         Self {
             task_lease_ms: 6000,
+            lease_bound_ms: 8500,
             renewal_wait_ms: 1000,
             urgent_renewal_wait_ms: 500,
             idle_renewal_interval_ms: 1500,
--- a/crates/fleet/src/owner/planned_start.rs
+++ b/crates/fleet/src/owner/planned_start.rs
@@ -84,13 +84,14 @@
         allowed
             && entry.allocated.fits(&entry.report.capacity)
             && entry.is_reachable(now, self.settings.max_contact_age_ms)
+            && entry.can_grant_lease(now, self.lease_terms())
             && !self
                 .evacuated_domains
                 .contains(&entry.report.failure_domain)
     }
 
     fn send_start(&mut self, now: u64, run: RecordedRun) {
-        let lease_ms = self.settings.task_lease_ms;
+        let terms = self.lease_terms();
         let RecordedRun { name, upstream } = run;
         let Some(submission) = self.submissions.get(&name.submission) else {
             return;
@@ -103,7 +104,7 @@
         };
         let ticket = step.and_then(|step| step.tickets.get(&entry.index));
         let ticket = ticket.map(|ticket| ticket.ticket.clone());
-        let Some(deadline_ms) = entry.grant_lease(now, lease_ms) else {
+        let Some(deadline_ms) = entry.grant_lease(now, terms) else {
             return;
         };
         let address = entry.report.address.clone();
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -98,16 +98,26 @@
     /// How long earlier owners may still act without knowing that they were replaced, in
     /// milliseconds.
     pub previous_owner_active_ms: u64,
+    /// Time by which every lease of earlier owners has expired, in milliseconds on the new owner's
+    /// clock; `None` if it does not follow from their last commits.
+    pub leases_expire_by: Option<u64>,
+    /// When the new owner requested its claim, in milliseconds on its clock.
+    pub claimed_after: u64,
 }
 
 impl OwnerMachine {
     /// Restores the state from the store.
     pub fn recover(&mut self, now: u64, recovered: RecoveredState) {
         self.took_over_at = now;
+        self.confirmed_at = recovered.claimed_after;
         // As in `grant_lease`, 1021 thousandths allow for a slow upstream clock; 300 ms are a
         // margin.
         let task_lease_ms = self.settings.task_lease_ms * 1021 / 1000 + 300;
         self.recovery_ends_at = now + recovered.previous_owner_active_ms + task_lease_ms;
+        let expire_by = recovered.leases_expire_by;
+        self.recovery_ends_at = expire_by.map_or(self.recovery_ends_at, |expire_by| {
+            expire_by.min(self.recovery_ends_at)
+        });
         self.recovered_revision = recovered.revision;
         self.stale_cancels.extend(recovered.stale_cancels);
         for roster_entry in recovered.roster {
@@ -116,29 +126,33 @@
         for stored in recovered.submissions {
             self.restore_submission(now, stored);
         }
-        self.report_recovery(now, recovered.previous_owner_active_ms, task_lease_ms);
+        self.effects
+            .push(OwnerEffect::ReportRecovery(RecoveryBound {
+                previous_owner_active_ms: recovered.previous_owner_active_ms,
+                task_lease_ms,
+                commit_bound_ms: expire_by.map(|expire_by| expire_by.saturating_sub(now)),
+                ..self.recovery_bound(now)
+            }));
         for departed in recovered.departed {
             self.release_departed(now, &departed);
         }
         self.request_placement();
     }
 
-    /// Reports how long runs of silent upstreams are held, and the terms of this time.
-    fn report_recovery(&mut self, now: u64, previous_owner_active_ms: u64, task_lease_ms: u64) {
+    /// Returns how long runs of silent upstreams are held, without the terms of this time.
+    fn recovery_bound(&self, now: u64) -> RecoveryBound {
         let entries = || self.upstreams.values();
         let silent = entries().filter(|entry| entry.contact == ContactState::RecordedSilent);
         let stored_bound = entries().filter(|entry| entry.lease_term == LeaseTerm::StoredBound);
-        let bound = RecoveryBound {
+        RecoveryBound {
             generation: self.generation,
             upstream_count: self.awaiting_first_reply.len(),
             run_count: self.run_count,
-            held_for_ms: self.recovery_ends_at - now,
-            previous_owner_active_ms,
-            task_lease_ms,
+            held_for_ms: self.recovery_ends_at.saturating_sub(now),
             silent_count: silent.count(),
             stored_bound_count: stored_bound.count(),
-        };
-        self.effects.push(OwnerEffect::ReportRecovery(bound));
+            ..RecoveryBound::default()
+        }
     }
 
     fn restore_upstream(&mut self, now: u64, roster_written_by: u64, roster_entry: RosterEntry) {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -175,7 +175,7 @@
     }
 
     fn send_renewals(&mut self, now: u64) {
-        let settings = self.settings;
+        let (settings, terms) = (self.settings, self.lease_terms());
         while let Some((at, id)) = self.renewal_queue.pop_due(now) {
             let entry = self.upstreams.get_mut(&id);
             let Some(entry) = entry else {
@@ -192,7 +192,7 @@
                 && entry.contact == ContactState::Responsive
                 && !contact_outdated;
             let deadline_ms = if busy && known && may_grant {
-                entry.grant_lease(now, settings.task_lease_ms)
+                entry.grant_lease(now, terms)
             } else {
                 None
             };
@@ -389,6 +389,7 @@
     /// Handles the outcome of a commit.
     pub fn on_commit(&mut self, now: u64, batch: &CommitBatch, outcome: CommitOutcome) {
         let stored = outcome == CommitOutcome::Stored;
+        let sent_at = self.commits.sent_at(batch.lane);
         let ids = self.commits.finish(batch.lane, stored);
         match outcome {
             CommitOutcome::Fenced => self.step_down(),
@@ -400,6 +401,7 @@
                 self.roster_changed |= batch.roster.is_some();
             }
             CommitOutcome::Stored => {
+                self.confirmed_at = self.confirmed_at.max(sent_at);
                 self.placement.request_full();
                 for id in ids {
                     self.mark_stored(now, &id, batch);
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -128,6 +128,15 @@
     Missing,
 }
 
+/// Terms of a new lease.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaseTerms {
+    /// Duration, in milliseconds of the upstream's clock.
+    pub duration_ms: u64,
+    /// Time by which it expires at the latest, even if the upstream's clock is slow.
+    pub expires_by: u64,
+}
+
 /// A reading of an upstream's clock.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ClockReading {
@@ -256,18 +265,33 @@
     }
 
     /// Grants a lease starting now: returns its expiry on the upstream's clock and records the
-    /// latest possible expiry.
-    pub fn grant_lease(&mut self, now: u64, lease_ms: u64) -> Option<u64> {
+    /// latest possible expiry. Returns `None` if no lease can be granted.
+    pub fn grant_lease(&mut self, now: u64, terms: LeaseTerms) -> Option<u64> {
         let clock = self.clock?;
-        let since = now.saturating_sub(clock.received_at);
-        let remaining = since + lease_ms;
+        let granted_ms = self.granted_ms(now, terms)?;
         let expiry =
-            clock.received_at + remaining * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS;
+            clock.received_at + granted_ms * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS;
         if expiry > self.leases_expire_at {
             self.leases_expire_at = expiry;
             self.lease_term = LeaseTerm::OwnLeases;
         }
-        Some(clock.clock_ms + remaining)
+        Some(clock.clock_ms + granted_ms)
+    }
+
+    /// Returns whether a lease can be granted.
+    pub fn can_grant_lease(&self, now: u64, terms: LeaseTerms) -> bool {
+        self.granted_ms(now, terms).is_some()
+    }
+
+    /// Returns the duration of a lease from the last reading of the upstream's clock, in
+    /// milliseconds of that clock; `None` if the lease would have expired.
+    fn granted_ms(&self, now: u64, terms: LeaseTerms) -> Option<u64> {
+        let read_at = self.clock?.received_at;
+        let since = now.saturating_sub(read_at);
+        let longest = terms.expires_by.saturating_sub(read_at + EXPIRY_MARGIN_MS);
+        let longest = longest * 1000 / SLOW_CLOCK_FACTOR_PER_MILLE;
+        let granted_ms = longest.min(since + terms.duration_ms);
+        (granted_ms > since).then_some(granted_ms)
     }
 
     /// Returns whether tasks may be placed on the upstream now.
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -565,6 +565,8 @@
         departed: Vec::new(),
         roster_written_by: 1000,
         previous_owner_active_ms: 0,
+        leases_expire_by: None,
+        claimed_after: 1000,
     };
     owner.recover(1000, recovered);
     owner
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -399,6 +399,7 @@
         "held_for_ms": bound.held_for_ms,
         "previous_owner_active_ms": bound.previous_owner_active_ms,
         "task_lease_ms": bound.task_lease_ms,
+        "commit_bound_ms": bound.commit_bound_ms,
         "silent": bound.silent_count,
         "stored_bounds": bound.stored_bound_count,
     }));
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -119,6 +119,7 @@
         tokio::spawn(reader.run());
         let claimer = OwnershipClaimer::new(
             settings,
+            &owner_settings(settings),
             ports,
             clients.clone(),
             view.clone(),
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -2,6 +2,7 @@
 
 mod accepted_cursor;
 mod claim_policy;
+mod claimed_ownership;
 mod departures;
 mod owner_polling;
 mod owner_watch;
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use lagoonnotch_fleet::owner::OwnerSettings;
 use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -16,6 +17,7 @@
 use crate::control::{ControlHandle, ControlInput, HostView, OwnerInfo, OwnershipGrant};
 use crate::event::FleetEvent;
 use crate::metrics::{WorkKind, measured};
+use crate::ownership::claimed_ownership::ClaimedOwnership;
 use crate::ownership::owner_polling::DirectoryFindings;
 use crate::ownership::owner_watch::{OwnerHealth, OwnerObservation};
 use crate::ownership::{AcceptedCursor, ClaimEvidence, claim_reason};
@@ -77,6 +79,9 @@
     pub report_interval_ms: u64,
     /// CPU capacity of the host, in thousandths of a core; larger hosts claim first.
     pub processor_milli: u32,
+    /// Time by which the leases of this host have expired since its last commit as the owner, in
+    /// milliseconds.
+    pub lease_bound_ms: u64,
     pub(super) observation: watch::Receiver<OwnerObservation>,
     pub(super) observation_sender: Arc<watch::Sender<OwnerObservation>>,
     pub(super) health: watch::Receiver<OwnerHealth>,
@@ -93,6 +98,7 @@
     #[must_use]
     pub fn new(
         settings: &FleetSettings,
+        owner_settings: &OwnerSettings,
         ports: PlatformPorts,
         clients: PeerClients,
         view: HostView,
@@ -110,6 +116,7 @@
                 control,
                 report_interval_ms: settings.report_interval_ms,
                 processor_milli: settings.processor_milli(),
+                lease_bound_ms: owner_settings.lease_bound_ms,
                 observation,
                 observation_sender: Arc::new(observation_sender),
                 health,
@@ -278,12 +285,14 @@
             .filter(|previous_record| previous_record.host != self.host);
         let written_by = self.view.revision_log().written_by(totals_revision);
         let totals_written_by = written_by.unwrap_or(requested_at);
-        let new_totals = totals.after_claim(
-            previous_host_record.is_some(),
-            now_ms().saturating_sub(totals_written_by),
-            unix_ms(),
-            self.processor_milli,
-        );
+        let new_totals = totals
+            .after_claim(
+                previous_host_record.is_some(),
+                now_ms().saturating_sub(totals_written_by),
+                unix_ms(),
+                self.processor_milli,
+            )
+            .with_lease_bound(self.lease_bound_ms);
         let (Ok(value), Ok(new_totals_value)) =
             (serde_json::to_vec(&record), serde_json::to_vec(&new_totals))
         else {
@@ -341,13 +350,16 @@
                 "previous_owner_active_ms": previous_owner_active_ms,
             }));
         }
-        self.maintain_ownership(
+        self.maintain_ownership(ClaimedOwnership {
             epoch,
-            &record,
+            record,
             lease,
             requested_at,
+            claimed_by,
             previous_owner_active_ms,
-        )
+            replaced_totals: totals,
+            replaced_revision: totals_revision,
+        })
         .await;
     }
 
@@ -371,21 +383,17 @@
     }
 
     /// Recovers the fleet's state, and keeps the ownership until it ends.
-    async fn maintain_ownership(
-        &self,
-        epoch: u64,
-        record: &OwnerRecord,
-        lease: LeaseGrant,
-        requested_at: u64,
-        previous_owner_active_ms: u64,
-    ) {
-        let valid_until = requested_at + lease.ttl_ms.saturating_sub(LEASE_MARGIN_MS);
+    async fn maintain_ownership(&self, claimed: ClaimedOwnership) {
+        let (epoch, lease) = (claimed.epoch, claimed.lease);
+        let valid_until = claimed.requested_at + lease.ttl_ms.saturating_sub(LEASE_MARGIN_MS);
         let renewal = tokio::spawn(self.clone().renew(epoch, lease));
-        let (mut recovered, cursor) = loop {
+        let log = self.view.revision_log();
+        let (read, cursor) = loop {
             let began_at = now_ms();
-            match read_recovery_state(&self.ports.store, self.view.revision_log()).await {
-                Ok((recovered, revision)) => {
-                    break (recovered, AcceptedCursor::after_listing(began_at, revision));
+            match read_recovery_state(&self.ports.store, log).await {
+                Ok(read) => {
+                    let cursor = AcceptedCursor::after_listing(began_at, read.watch_revision);
+                    break (read, cursor);
                 }
                 Err(_) if renewal.is_finished() => return,
                 Err(_) => sleep(RECOVERY_RETRY_DELAY).await,
@@ -394,7 +402,10 @@
         if renewal.is_finished() {
             return;
         }
-        recovered.previous_owner_active_ms = previous_owner_active_ms;
+        let mut recovered = read.state;
+        recovered.previous_owner_active_ms = claimed.previous_owner_active_ms;
+        recovered.leases_expire_by = claimed.leases_expire_by(log, read.last_commit_revision);
+        recovered.claimed_after = claimed.requested_at;
         let mut findings = DirectoryFindings::default();
         let directory = self.read_directory(&mut findings).await;
         if let Some(read) = &directory {
@@ -403,7 +414,7 @@
         self.control
             .send(ControlInput::OwnershipGranted(Box::new(OwnershipGrant {
                 epoch,
-                generation: record.generation,
+                generation: claimed.record.generation,
                 recovered,
                 valid_until,
                 known_until: cursor.known_until(),
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -31,12 +31,24 @@
     /// first; 0 for none.
     #[serde(default)]
     pub last_claims_unix_ms: [u64; REMEMBERED_CLAIMS],
+    /// Time by which the leases of the owner that wrote these totals have expired since its last
+    /// commit or its claim, in milliseconds; 0 if it does not bound them, as in earlier versions.
+    #[serde(default)]
+    pub lease_bound_ms: u64,
+    /// Time by which the leases of all owners before that one have expired, in milliseconds from any
+    /// time after the claim that wrote these totals.
+    #[serde(default)]
+    pub earlier_lease_ms: u64,
 }
 
 /// Lease of the owner's record in the store, in milliseconds; no owner acts for longer after it was
 /// replaced.
 pub const OWNER_LEASE_MS: u64 = 6000;
 
+/// Time by which the leases of an owner that does not bound them have expired since it was replaced, in
+/// milliseconds: it acts for `OWNER_LEASE_MS` more, and grants leases of 6 s on clocks that may be slow.
+const UNBOUNDED_LEASE_MS: u64 = 12_500;
+
 /// Assumed maximum error of the wall clocks of hosts of earlier versions, in milliseconds.
 const EARLIER_VERSION_MARGIN_MS: u64 = 5000;
 
@@ -95,14 +107,48 @@
             acting_ms,
             acting_until_unix_ms,
             largest_processor_milli: self.largest_processor_milli.max(processor_milli),
+            lease_bound_ms: 0,
+            earlier_lease_ms: self.lease_ms_at_claim(age_ms),
+        }
+    }
+
+    /// Returns these totals with the bound on the leases of the owner that writes them.
+    #[must_use]
+    pub fn with_lease_bound(self, lease_bound_ms: u64) -> Self {
+        Self {
+            lease_bound_ms,
+            ..self
         }
     }
+
+    /// Returns by when the leases of all owners so far have expired, in milliseconds from a claim
+    /// that replaces these totals at least `age_ms` after they were written.
+    fn lease_ms_at_claim(&self, age_ms: u64) -> u64 {
+        match (self.owners, self.lease_bound_ms) {
+            (0, _) => 0,
+            (_, 0) => UNBOUNDED_LEASE_MS,
+            (_, bound_ms) => bound_ms.max(self.earlier_lease_ms.saturating_sub(age_ms)),
+        }
+    }
+
+    /// Returns a time by which the leases of all owners so far have expired. `written_by` is a time by
+    /// which these totals had been written, and `confirmed_by` one by which these and all commits had
+    /// been. Returns `None` if the last owner does not bound its leases.
+    #[must_use]
+    pub fn leases_expire_by(&self, written_by: u64, confirmed_by: u64) -> Option<u64> {
+        let last_owner = confirmed_by + self.lease_bound_ms;
+        let earlier_owners = written_by + self.earlier_lease_ms;
+        (self.lease_bound_ms > 0).then(|| last_owner.max(earlier_owners))
+    }
 }
 
+/// Prefix of the keys that hold the last commits.
+pub(crate) const COMMIT_PREFIX: &str = "fleet/commit/";
+
 /// Returns the key that holds the epoch and number of the last commit in a lane.
 #[must_use]
 pub fn commit_key(lane: usize) -> String {
-    format!("fleet/commit/{lane}")
+    format!("{COMMIT_PREFIX}{lane}")
 }
 
 /// Key of the list of upstreams that may hold leases.
--- a/crates/host/src/store/mod.rs
+++ b/crates/host/src/store/mod.rs
@@ -15,7 +15,7 @@
     ROSTER_KEY, cancel_key, commit_key, ended_key, progress_key, submission_key,
 };
 pub use latency_estimator::LatencyEstimator;
-pub use recovery_reader::{list_all, parse_submission, read_recovery_state};
+pub use recovery_reader::{RecoveryRead, list_all, parse_submission, read_recovery_state};
 pub use revision_log::{RevisionLog, logged_store};
 pub use submission_store::{StoreOutcome, SubmissionStore};
 
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::now_ms;
 use crate::ports::{ListRequest, StoreError, StoreItem, StorePort};
-use crate::store::key_layout::{CANCEL_PREFIX, PROGRESS_PREFIX, SUBMISSION_PREFIX};
+use crate::store::key_layout::{CANCEL_PREFIX, COMMIT_PREFIX, PROGRESS_PREFIX, SUBMISSION_PREFIX};
 use crate::store::{ROSTER_KEY, RevisionLog};
 
 /// Lists all items with a prefix, and returns them with the store's revision at the first page.
@@ -40,8 +40,19 @@
     }
 }
 
-/// Reads the state for a new owner, and the revision after which to watch submissions and
-/// cancellations, which is that of the first listing.
+/// The stored state for a new owner.
+#[derive(Debug)]
+pub struct RecoveryRead {
+    /// What the owner recovers from.
+    pub state: RecoveredState,
+    /// Revision after which to watch submissions and cancellations: that of the first listing.
+    pub watch_revision: u64,
+    /// Revision of the last commit of an earlier owner; 0 if there is none.
+    pub last_commit_revision: u64,
+}
+
+/// Reads the state for a new owner, which has stored its claim, so that earlier owners commit no
+/// more.
 ///
 /// # Errors
 ///
@@ -49,13 +60,14 @@
 pub async fn read_recovery_state(
     store: &StorePort,
     log: &RevisionLog,
-) -> Result<(RecoveredState, u64), StoreError> {
+) -> Result<RecoveryRead, StoreError> {
     // Cancellations are listed before submissions, so a cancellation without a listed submission
     // belongs to one that has ended.
-    let ((cancels, revision), (progress, _), (roster, roster_revision)) = try_join!(
+    let ((cancels, watch_revision), (progress, _), (roster, roster_revision), (commits, _)) = try_join!(
         list_all(store, CANCEL_PREFIX),
         list_all(store, PROGRESS_PREFIX),
         read_roster(store),
+        list_all(store, COMMIT_PREFIX),
     )?;
     let (submissions, submissions_revision) = list_all(store, SUBMISSION_PREFIX).await?;
     let cancelled: HashSet<_> = cancels
@@ -83,7 +95,7 @@
             })
         })
         .collect();
-    let recovered = RecoveredState {
+    let state = RecoveredState {
         submissions,
         roster,
         departed: Vec::new(),
@@ -91,8 +103,15 @@
         revision: submissions_revision,
         stale_cancels,
         previous_owner_active_ms: 0,
+        leases_expire_by: None,
+        claimed_after: 0,
     };
-    Ok((recovered, revision))
+    let last_commit_revision = commits.iter().map(|item| item.revision).max();
+    Ok(RecoveryRead {
+        state,
+        watch_revision,
+        last_commit_revision: last_commit_revision.unwrap_or(0),
+    })
 }
 
 /// Reads the roster and its revision.
--- a/crates/host/tests/host/owners.rs
+++ b/crates/host/tests/host/owners.rs
@@ -62,3 +62,49 @@
 
     assert_eq!(smaller, vec![true, false, false, false]);
 }
+
+/// Guards against waiting for a lost owner from the claim on: its leases expire a known time after its
+/// last commit.
+#[test]
+fn leases_of_a_lost_owner_expire_by_its_last_commit() {
+    let first = OwnershipTotals::default().after_claim(false, 0, 1000, 250);
+    let first = first.with_lease_bound(8500);
+
+    let expire_by = first.leases_expire_by(10_000, 42_000);
+
+    assert_eq!(expire_by, Some(50_500));
+}
+
+/// Guards against forgetting the leases of the owner before the last one, which may be of an earlier
+/// version that does not bound them.
+#[test]
+fn leases_of_owners_before_the_last_one_are_waited_for() {
+    let unbounded = OwnershipTotals::default().after_claim(false, 0, 1000, 250);
+    let bounded = unbounded.with_lease_bound(8500);
+
+    let after_unbounded = unbounded.after_claim(true, 60_000, 61_000, 250);
+    let after_bounded = bounded.after_claim(true, 60_000, 61_000, 250);
+    let after_both = after_unbounded
+        .with_lease_bound(8500)
+        .after_claim(true, 2000, 63_000, 250);
+
+    // Arguments: when the last totals had been written, and when the last commit had been.
+    let expire_by = |totals: OwnershipTotals| {
+        totals
+            .with_lease_bound(8500)
+            .leases_expire_by(70_000, 71_000)
+    };
+    assert_eq!(expire_by(after_unbounded), Some(82_500));
+    assert_eq!(expire_by(after_bounded), Some(79_500));
+    assert_eq!(expire_by(after_both), Some(80_500));
+}
+
+/// Guards against a bound that an owner of an earlier version does not keep: its totals lack it.
+#[test]
+fn totals_of_an_earlier_version_bound_no_leases() {
+    let stored = r#"{"owners": 3, "acting_ms": 6000, "acting_until_unix_ms": 17}"#;
+
+    let totals: OwnershipTotals = serde_json::from_str(stored).expect("stored totals are readable");
+
+    assert_eq!(totals.leases_expire_by(1000, 2000), None);
+}
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -703,6 +703,8 @@
             revision: self.revision,
             stale_cancels: Vec::new(),
             previous_owner_active_ms: 0,
+            leases_expire_by: None,
+            claimed_after: self.now,
         };
         let started = Instant::now();
         let mut owner = OwnerMachine::new(
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -40,6 +40,8 @@
     pub report: UpstreamReport,
     /// Offset of its clock from virtual time, in milliseconds.
     pub clock_offset_ms: u64,
+    /// Speed of its clock, in thousandths of that of virtual time.
+    pub clock_speed_per_mille: u64,
     /// Resources that its runs may use together.
     pub capacity: ResourceSize,
     /// Speed of its runs; 1 is the normal speed.
@@ -96,6 +98,7 @@
                 labels: Arc::from([]),
             },
             clock_offset_ms,
+            clock_speed_per_mille: 1000,
             capacity,
             speed: 1.0,
             fault_rank: 1.0,
@@ -116,9 +119,14 @@
         }
     }
 
+    /// Returns the time on its own clock, in milliseconds.
+    fn clock_ms(&self, now: u64) -> u64 {
+        now * self.clock_speed_per_mille / 1000 + self.clock_offset_ms
+    }
+
     /// Finishes all runs that are due or whose lease has expired.
     pub fn advance(&mut self, now: u64) {
-        let clock = now + self.clock_offset_ms;
+        let clock = self.clock_ms(now);
         let lease_expired = clock > self.lease_deadline_ms;
         let due: Vec<_> = self
             .runs
@@ -185,7 +193,7 @@
         run: (u64, RunOutcome),
     ) -> StartOutcome {
         self.advance(now);
-        let clock = now + self.clock_offset_ms;
+        let clock = self.clock_ms(now);
         if order.epoch < self.epoch {
             return StartOutcome::Rejected(RejectReason::Fenced);
         }
@@ -276,7 +284,7 @@
         }
         let listed = self.finished.iter().take(self.max_listed_finished);
         Some(RenewReply {
-            clock_ms: now + self.clock_offset_ms,
+            clock_ms: self.clock_ms(now),
             incarnation_unix_ms: self.incarnation_unix_ms,
             running: self
                 .runs
