--- a/crates/fleet/tests/fleet/promises.rs
+++ b/crates/fleet/tests/fleet/promises.rs
@@ -225,12 +225,13 @@
 }
 
 /// Seeds from which the random tests once drew a history that broke a promise.
-const RECORDED_SEEDS: [&str; 5] = [
+const RECORDED_SEEDS: [&str; 6] = [
     "059cbc13fc3f812f91fbe0080a84e8d03664921ba35ad473d982fbaf65b87658",
     "01e2cafbeca315072accc95bb92053d11def8d81b1ec15266c698bdb2eca860e",
     "9aa34336b49b19f9cefd132a7781e19f41d3229e00839b75a56060d8b4db9af2",
     "7abe570c16bfe62ef37dfb30e35e8afbd4315ddd66143d88de5a3a4fd46f76b7",
     "a24b56520fcbc5edd3f4ae550f6c864b9fc768d62b065e8a8b26f766c89793a1",
+    "00744a4fe251ac4ccca6e78492b4ef68bbaaf27ade949972c971cc4ccd9a1fe8",
 ];
 
 /// Draws the history of a recorded seed.
