Extend the bound on leases while no host reaches the store

With leases bounded to 8.5 s from the owner's last commit, an outage of the store of more than 8 s would end runs that survived up to 11.5 s before, so callers would lose work in outages to a rule that is meant for lost owners.

An owner without contact with the store for 3 s asks every host that has sent it a heartbeat. If each says that the store has not responded to it for 2 s, leases may last 11.5 s from the last commit instead. No promise is stored: a host that has had contact all the while, and that the owner would have had to ask, waits for the usual bound, any other for the longer one. A host that may have claimed does not answer. A new heartbeat cannot make a host count as asked after the question, since the reply then says that the owner has no contact. If the store is back before a host's next commit, that commit comes 3 s after the last one or later, by which the bounds differ.

Tests: runs survive an outage that every host observes, and lapse after the usual bound if the hosts were asked too early; a successor after an outage waits for the longer bound (fails with the usual one).

--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -84,6 +84,9 @@
     /// Time after which the store showed that this host is the owner: when it requested its claim,
     /// or sent the last commit that was stored.
     pub(super) confirmed_at: u64,
+    /// Time after which every host that could succeed this owner was asked and reached no store; 0 if
+    /// never.
+    pub(super) outage_observed_at: u64,
     pub(super) roster_changed: bool,
     /// Submissions whose final states are to be deleted from the store.
     pub(super) expired_results: VecDeque<Arc<str>>,
@@ -141,6 +144,7 @@
             took_over_at: 0,
             recovery_ends_at: 0,
             confirmed_at: 0,
+            outage_observed_at: 0,
             roster_changed: false,
             expired_results: VecDeque::new(),
             stale_cancels: VecDeque::new(),
@@ -157,12 +161,25 @@
     /// Returns the terms of a lease that is granted now. A successor knows when the last commit was
     /// stored, and so by when every lease has expired.
     pub(super) fn lease_terms(&self) -> LeaseTerms {
+        let settings = &self.settings;
+        let extension_allowed_at = self.confirmed_at + settings.lease_extension_delay_ms();
+        let bound_ms = if self.outage_observed_at >= extension_allowed_at {
+            settings.extended_lease_bound_ms
+        } else {
+            settings.lease_bound_ms
+        };
         LeaseTerms {
-            duration_ms: self.settings.task_lease_ms,
-            expires_by: self.confirmed_at + self.settings.lease_bound_ms,
+            duration_ms: settings.task_lease_ms,
+            expires_by: self.confirmed_at + bound_ms,
         }
     }
 
+    /// Records that every host that could succeed this owner was asked after a time, and had no
+    /// contact with the store.
+    pub fn observe_outage(&mut self, asked_at: u64) {
+        self.outage_observed_at = self.outage_observed_at.max(asked_at);
+    }
+
     /// Requests placement passes because a change may have made a start possible.
     pub(super) fn request_placement(&mut self) {
         self.placement.request();
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -9,6 +9,9 @@
     /// Time by which every lease has expired since the owner last confirmed its ownership with a
     /// commit, in milliseconds of its own clock.
     pub lease_bound_ms: u64,
+    /// The same while no host that could succeed the owner reaches the store, in milliseconds. Leases
+    /// then survive longer outages.
+    pub extended_lease_bound_ms: u64,
     /// How long an upstream may delay its reply to a renewal until a run finishes, in milliseconds.
     pub renewal_wait_ms: u64,
     /// Value of `renewal_wait_ms` for upstreams with urgent runs. It is shorter because a lost
@@ -37,11 +40,22 @@
     pub due_margin_ms: u64,
 }
 
+impl OwnerSettings {
+    /// Returns the time without a stored commit after which the longer bound on leases may apply, in
+    /// milliseconds. A host that reaches the store again later still waits for long enough with the
+    /// shorter bound.
+    #[must_use]
+    pub fn lease_extension_delay_ms(&self) -> u64 {
+        self.extended_lease_bound_ms - self.lease_bound_ms
+    }
+}
+
 impl Default for OwnerSettings {
     fn default() -> Self {
         Self {
             task_lease_ms: 6000,
             lease_bound_ms: 8500,
+            extended_lease_bound_ms: 11_500,
             renewal_wait_ms: 1000,
             urgent_renewal_wait_ms: 500,
             idle_renewal_interval_ms: 1500,
--- a/crates/fleet/tests/fleet/held_runs.rs
+++ b/crates/fleet/tests/fleet/held_runs.rs
@@ -49,7 +49,9 @@
     for (held_for_ms, commit_bound_ms) in [(12_426, None), (8390, Some(8390))] {
         let (mut simulation, upstream) = fleet_with_long_running_task();
         simulation.partitioned.insert(upstream.clone(), u64::MAX);
-        simulation.predecessor_bounds_leases = commit_bound_ms.is_some();
+        if commit_bound_ms.is_none() {
+            simulation.previous_lease_bound_ms = None;
+        }
 
         simulation.take_over_with_overlap(3000);
         let bound_ends_at = simulation.now + held_for_ms;
--- a/crates/fleet/tests/fleet/lost_owner.rs
+++ b/crates/fleet/tests/fleet/lost_owner.rs
@@ -53,6 +53,13 @@
     simulation.take_over();
 }
 
+/// Tells the owner that no host that could succeed it reaches the store.
+fn observe_outage(simulation: &mut FleetSimulation) {
+    let now = simulation.now;
+    let owner = simulation.owner.as_mut();
+    owner.expect("there is an owner").observe_outage(now);
+}
+
 /// Returns the number of runs that exist on any upstream.
 fn run_count(simulation: &FleetSimulation) -> usize {
     let upstreams = simulation.upstreams.values();
@@ -118,3 +125,58 @@
     assert!(runs_before > 0);
     assert_eq!(simulation.upstreams[&upstream].runs.len(), 0);
 }
+
+/// Guards against runs that end in an outage of the store although no host can replace the owner.
+#[test]
+fn runs_survive_an_outage_that_every_host_observes() {
+    let (mut simulation, upstream) = fleet_with_long_running_task(&queue("watch", 1));
+    let settings = OwnerSettings::default();
+    let began_at = simulation.now;
+
+    simulation.store_unavailable = true;
+    simulation.run_until(began_at + settings.lease_extension_delay_ms());
+    observe_outage(&mut simulation);
+    simulation.run_until(began_at + settings.extended_lease_bound_ms - 1000);
+    let runs_before = simulation.upstreams[&upstream].runs.len();
+    simulation.run_until(began_at + settings.extended_lease_bound_ms);
+
+    assert!(runs_before > 0);
+    assert_eq!(simulation.upstreams[&upstream].runs.len(), 0);
+}
+
+/// Guards against longer leases on the word of hosts that were asked too early: one of them may
+/// replace the owner soon after.
+#[test]
+fn outage_observed_soon_after_a_commit_extends_no_lease() {
+    let (mut simulation, upstream) = fleet_with_long_running_task(&queue("watch", 1));
+    let settings = OwnerSettings::default();
+    let began_at = simulation.now;
+
+    simulation.store_unavailable = true;
+    simulation.run_until(began_at + settings.lease_extension_delay_ms() - 500);
+    observe_outage(&mut simulation);
+    simulation.run_until(began_at + settings.lease_bound_ms);
+
+    assert_eq!(simulation.upstreams[&upstream].runs.len(), 0);
+}
+
+/// Guards against starting a task again while its lease lasts that the previous owner extended.
+#[test]
+fn successor_after_an_outage_waits_for_extended_leases() {
+    for overlap_ms in [5000, 9000, 12_000] {
+        let (mut simulation, upstream) = fleet_with_long_running_task(&queue("watch", 1));
+        let settings = OwnerSettings::default();
+
+        simulation.store_unavailable = true;
+        simulation.run_until(simulation.now + settings.lease_extension_delay_ms());
+        observe_outage(&mut simulation);
+        simulation.store_unavailable = false;
+        simulation.cut_off_with_previous.insert(upstream);
+        simulation.previous_lease_bound_ms = Some(settings.extended_lease_bound_ms);
+        simulation.take_over_with_overlap(overlap_ms);
+        simulation.run_until(simulation.now + 15_000);
+
+        assert_eq!(run_count(&simulation), 2, "{overlap_ms}");
+        assert_eq!(simulation.violations, Vec::<String>::new(), "{overlap_ms}");
+    }
+}
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -97,8 +97,9 @@
     /// Upstreams that are cut off together with the previous owner, which reaches neither others nor
     /// the store.
     pub cut_off_with_previous: BTreeSet<Arc<str>>,
-    /// Whether the previous owner bounds its leases by its last commit.
-    pub predecessor_bounds_leases: bool,
+    /// Bound on the leases of the previous owner for which a new one waits, in milliseconds; `None` if
+    /// it does not bound them.
+    pub previous_lease_bound_ms: Option<u64>,
     /// Time at which the store last showed that an owner owned the fleet.
     confirmed_at: u64,
     pub upstreams: BTreeMap<Arc<str>, SimulatedUpstream>,
@@ -187,7 +188,7 @@
             previous: None,
             predecessor_lost: false,
             cut_off_with_previous: BTreeSet::new(),
-            predecessor_bounds_leases: true,
+            previous_lease_bound_ms: Some(OwnerSettings::default().lease_bound_ms),
             confirmed_at: 0,
             upstreams,
             partitioned: HashMap::new(),
@@ -278,8 +279,8 @@
     /// Returns a time by which all leases have expired, as a new owner knows it.
     fn leases_expire_by(&self) -> Option<u64> {
         let confirmed_by = self.confirmed_at + self.roster_sighting_delay_ms;
-        self.predecessor_bounds_leases
-            .then(|| confirmed_by + OwnerSettings::default().lease_bound_ms)
+        self.previous_lease_bound_ms
+            .map(|bound_ms| confirmed_by + bound_ms)
     }
 
     /// Creates a new owner while the current one continues to act for a while.
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -322,6 +322,10 @@
             } if renewed_epoch == epoch => {
                 ownership.valid_until = ownership.valid_until.max(valid_until);
             }
+            ControlInput::OutageObserved {
+                epoch: observed_epoch,
+                asked_at,
+            } if observed_epoch == epoch => machine.observe_outage(asked_at),
             ControlInput::RenewalFinished(order, sent_at, outcome) if order.epoch == epoch => {
                 let renewal = SettledRenewal {
                     order,
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -69,6 +69,13 @@
     ExpiredFinalStates(Vec<Arc<str>>),
     /// The host became the owner.
     OwnershipGranted(Box<OwnershipGrant>),
+    /// No host that could succeed the owner of an epoch reached the store when it was asked.
+    OutageObserved {
+        /// Epoch of the owner.
+        epoch: u64,
+        /// A time before the hosts were asked, in milliseconds of the host's clock.
+        asked_at: u64,
+    },
     /// The ownership of an epoch was renewed.
     OwnershipRenewed {
         /// Epoch of the ownership.
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::now_ms;
 use crate::event::FleetEvent;
+use crate::ownership::MAX_CONTACT_AGE_MS;
 use crate::peer::{ConfigFingerprint, HeartbeatReply, PeerInfo};
 use crate::store::RevisionLog;
 
@@ -89,6 +90,12 @@
     owned_epoch: Option<u64>,
     /// Highest revision of a submission that a host reported to this one as the owner.
     reported_revision: u64,
+    /// When each host last sent a heartbeat to this one, by address.
+    heartbeats: HashMap<Arc<str>, u64>,
+    /// When this host last requested a claim of the ownership.
+    claim_requested_at: Option<u64>,
+    /// Until when heartbeats are answered as if the store were out of reach.
+    outage_reported_until: u64,
 }
 
 /// State shared by the components of a host.
@@ -310,9 +317,14 @@
             state.owned_epoch == Some(counts.epoch)
                 && now.saturating_sub(counts.counted_at) <= MAX_REPORTED_COUNT_AGE_MS
         });
+        let reported_age_ms = if now < state.outage_reported_until {
+            store_response_age_ms.max(MAX_CONTACT_AGE_MS + 1)
+        } else {
+            store_response_age_ms
+        };
         HeartbeatReply {
             epoch: own_counts.map(|counts| counts.epoch),
-            store_response_age_ms,
+            store_response_age_ms: reported_age_ms,
             config: Some(fingerprint),
             waiting_counts: own_counts
                 .map(|counts| counts.by_queue.clone())
@@ -335,6 +347,43 @@
         })
     }
 
+    /// Records that a host has sent a heartbeat to this one.
+    pub fn record_heartbeat(&self, address: Arc<str>, now: u64) {
+        self.lock().heartbeats.insert(address, now);
+    }
+
+    /// Returns the addresses of the hosts that have sent a heartbeat to this one within a period, in
+    /// milliseconds, and forgets the others.
+    #[must_use]
+    pub fn followers(&self, now: u64, period_ms: u64) -> Vec<Arc<str>> {
+        let heartbeats = &mut self.lock().heartbeats;
+        heartbeats.retain(|_, sent_at| now < *sent_at + period_ms);
+        heartbeats.keys().cloned().collect()
+    }
+
+    /// Records that this host requested a claim of the ownership.
+    pub fn record_claim(&self, now: u64) {
+        self.lock().claim_requested_at = Some(now);
+    }
+
+    /// Lets replies to heartbeats say until a time that this host does not reach the store.
+    pub fn report_outage_until(&self, until: u64) {
+        self.lock().outage_reported_until = until;
+    }
+
+    /// Returns the time since the store last responded to this host, for the owner of an epoch;
+    /// `None` if the host knows of a later owner, or has requested a claim within a period.
+    #[must_use]
+    pub fn contact_age_for(&self, epoch: u64, claim_period_ms: u64) -> Option<u64> {
+        let now = now_ms();
+        let state = self.lock();
+        let claimed_at = state.claim_requested_at;
+        let may_have_claimed = claimed_at.is_some_and(|at| now < at + claim_period_ms);
+        let known_epoch = state.owner.as_ref().map_or(0, |owner| owner.epoch);
+        (known_epoch <= epoch && !may_have_claimed)
+            .then(|| self.revision_log.contacts().age_ms(now))
+    }
+
     /// Marks the host as stopping.
     pub fn set_stopping(&self) {
         self.lock().stopping = true;
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -118,6 +118,8 @@
     /// The runs of a silent upstream are no longer held; those that do not run on it wait to be
     /// started again.
     HeldRunsReleased = 1047, Info;
+    /// No host that could succeed the owner reaches the store: its leases may last longer.
+    LeasesExtended = 1048, Info;
     /// The policy service returned a decision: the upstreams that may run a step.
     AdviceTaken = 1050, Info;
     /// The policy service returned no usable decision.
--- a/crates/host/src/ownership/claimed_ownership.rs
+++ b/crates/host/src/ownership/claimed_ownership.rs
@@ -20,8 +20,10 @@
     pub previous_owner_active_ms: u64,
     /// Totals that the claim replaced.
     pub replaced_totals: OwnershipTotals,
-    /// Revision of the replaced totals.
+    /// Revision of the replaced totals, which is the epoch of the last owner.
     pub replaced_revision: u64,
+    /// Whether the last owner may have observed that no host reached the store.
+    pub may_be_extended: bool,
 }
 
 impl ClaimedOwnership {
@@ -34,6 +36,7 @@
         self.replaced_totals.leases_expire_by(
             written_by(self.replaced_revision),
             written_by(confirmed_revision),
+            self.may_be_extended,
         )
     }
 }
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -4,6 +4,7 @@
 mod claim_policy;
 mod claimed_ownership;
 mod departures;
+mod lease_extension;
 mod owner_polling;
 mod owner_watch;
 mod ownership_claimer;
@@ -11,4 +12,8 @@
 pub use accepted_cursor::{AcceptedCursor, WatchCoverage};
 pub use claim_policy::{ClaimEvidence, claim_reason};
 pub use departures::departure_report_age_ms;
+pub use lease_extension::may_be_extended;
 pub use ownership_claimer::{OwnershipClaimer, OwnershipContext, is_much_smaller};
+
+pub(crate) use lease_extension::CLAIM_MEMORY_MS;
+pub(crate) use owner_watch::MAX_CONTACT_AGE_MS;
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -33,6 +33,9 @@
 /// Time between heartbeats while the owner does not respond.
 const HEARTBEAT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum age of the store's last response to an owner that reaches the store, in milliseconds.
+pub(crate) const MAX_CONTACT_AGE_MS: u64 = 1000;
+
 /// The owner's record as last read.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OwnerObservation {
@@ -60,6 +63,8 @@
     /// Time since the owner sent the last request that the store answered, in milliseconds,
     /// according to the owner's last reply.
     pub store_response_age_ms: u64,
+    /// When the last answered heartbeat was sent whose reply showed that the owner reached the store.
+    pub heartbeat_in_contact_at: Option<u64>,
 }
 
 impl OwnershipContext {
@@ -168,6 +173,9 @@
                 health.failures = 0;
                 health.silent_since = None;
                 health.store_response_age_ms = reply.store_response_age_ms;
+                if reply.store_response_age_ms <= MAX_CONTACT_AGE_MS {
+                    health.heartbeat_in_contact_at = Some(sent_at);
+                }
                 if let Some(peers) = reply.peers {
                     self.view.set_peers(peers);
                 }
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -25,8 +25,8 @@
 use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteOutcome, WriteRequest};
 use crate::settings::FleetSettings;
 use crate::store::{
-    OWNER_KEY, OWNER_LEASE_MS, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals, commit_key,
-    read_recovery_state,
+    LeaseBounds, OWNER_KEY, OWNER_LEASE_MS, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals,
+    commit_key, read_recovery_state,
 };
 
 /// Time between renewals of the ownership.
@@ -79,9 +79,8 @@
     pub report_interval_ms: u64,
     /// CPU capacity of the host, in thousandths of a core; larger hosts claim first.
     pub processor_milli: u32,
-    /// Time by which the leases of this host have expired since its last commit as the owner, in
-    /// milliseconds.
-    pub lease_bound_ms: u64,
+    /// Bounds on the leases of this host as the owner.
+    pub lease_bounds: LeaseBounds,
     pub(super) observation: watch::Receiver<OwnerObservation>,
     pub(super) observation_sender: Arc<watch::Sender<OwnerObservation>>,
     pub(super) health: watch::Receiver<OwnerHealth>,
@@ -116,7 +115,10 @@
                 control,
                 report_interval_ms: settings.report_interval_ms,
                 processor_milli: settings.processor_milli(),
-                lease_bound_ms: owner_settings.lease_bound_ms,
+                lease_bounds: LeaseBounds {
+                    usual_ms: owner_settings.lease_bound_ms,
+                    extended_ms: owner_settings.extended_lease_bound_ms,
+                },
                 observation,
                 observation_sender: Arc::new(observation_sender),
                 health,
@@ -270,6 +272,7 @@
         FleetEvent::OwnershipClaimed
             .emit(json!({"reason": reason, "replaces": observation.revision}));
         let requested_at = now_ms();
+        self.view.record_claim(requested_at);
         let Ok(lease) = (self.ports.store.grant)(OWNER_LEASE_MS).await else {
             return;
         };
@@ -285,14 +288,19 @@
             .filter(|previous_record| previous_record.host != self.host);
         let written_by = self.view.revision_log().written_by(totals_revision);
         let totals_written_by = written_by.unwrap_or(requested_at);
+        let totals_age_ms = now_ms().saturating_sub(totals_written_by);
+        let may_be_extended = self.may_be_extended(totals_revision);
         let new_totals = totals
             .after_claim(
                 previous_host_record.is_some(),
-                now_ms().saturating_sub(totals_written_by),
+                totals_age_ms,
                 unix_ms(),
                 self.processor_milli,
             )
-            .with_lease_bound(self.lease_bound_ms);
+            .with_lease_bounds(
+                self.lease_bounds,
+                totals.lease_ms_at_claim(totals_age_ms, may_be_extended),
+            );
         let (Ok(value), Ok(new_totals_value)) =
             (serde_json::to_vec(&record), serde_json::to_vec(&new_totals))
         else {
@@ -359,6 +367,7 @@
             previous_owner_active_ms,
             replaced_totals: totals,
             replaced_revision: totals_revision,
+            may_be_extended,
         })
         .await;
     }
@@ -435,10 +444,12 @@
         let watch = self.clone().poll_accepted(epoch, cursor);
         let accepted = tokio::spawn(measured(WorkKind::Polling, watch));
         let expiry = tokio::spawn(self.clone().sweep_expired_final_states());
+        let outages = tokio::spawn(self.clone().observe_outages(epoch));
         let _ = renewal.await;
         directory.abort();
         accepted.abort();
         expiry.abort();
+        outages.abort();
     }
 
     /// Renews the ownership, and returns when it has ended.
--- a/crates/host/src/peer/peer_clients.rs
+++ b/crates/host/src/peer/peer_clients.rs
@@ -106,6 +106,25 @@
         self.check_reply(address, reply)
     }
 
+    /// Asks a peer when the store last responded to it, on behalf of the owner of an epoch; returns
+    /// the time since then in milliseconds, or `None` if the peer may know of a later owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer could not be reached or did not reply in time, or is of a
+    /// version that does not know the call.
+    pub async fn store_contact_age(
+        &self,
+        address: &Arc<str>,
+        epoch: u64,
+    ) -> Result<Option<u64>, PeerError> {
+        let client = self.client(address).await?;
+        let reply = client
+            .store_contact_age(context_with_timeout(CALL_TIMEOUT), epoch)
+            .await;
+        self.check_reply(address, reply)
+    }
+
     /// Notifies the owner of stored submissions.
     ///
     /// # Errors
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -18,6 +18,7 @@
 use crate::control::{ControlHandle, ControlInput, HostView};
 use crate::forward::{BatchReceipt, RenewalBatch, RenewalDelegate, RenewalReport};
 use crate::metrics::{WorkKind, measured};
+use crate::ownership::CLAIM_MEMORY_MS;
 use crate::peer::{
     AgedRequest, HeartbeatReply, HeartbeatRequest, NewSubmission, PeerService, RelayedDecision,
     SubmissionLookup,
@@ -88,6 +89,8 @@
 impl PeerService for PeerServer {
     async fn heartbeat(self, _: Context, request: HeartbeatRequest) -> HeartbeatReply {
         let peers_digest = request.peers_digest;
+        self.view
+            .record_heartbeat(request.address.clone(), now_ms());
         self.control.notify_heartbeat(request).await;
         self.view.heartbeat_reply(peers_digest)
     }
@@ -162,6 +165,10 @@
         self.delegate.accept(batch)
     }
 
+    async fn store_contact_age(self, _: Context, epoch: u64) -> Option<u64> {
+        self.view.contact_age_for(epoch, CLAIM_MEMORY_MS)
+    }
+
     async fn report_renewals(self, _: Context, report: RenewalReport) {
         self.control
             .send(ControlInput::RenewalsReported(report))
--- a/crates/host/src/peer/peer_service.rs
+++ b/crates/host/src/peer/peer_service.rs
@@ -145,4 +145,9 @@
 
     /// Reports outcomes of forwarded renewals to the owner.
     async fn report_renewals(report: RenewalReport);
+
+    /// Returns the time since the store last responded to the host, in milliseconds, to the owner of
+    /// an epoch; `None` if there is or may be a later owner. Hosts of earlier versions do not know
+    /// this call.
+    async fn store_contact_age(epoch: u64) -> Option<u64>;
 }
--- /dev/null
+++ b/crates/host/src/store/contact_log.rs
@@ -0,0 +1,50 @@
+//! When the store last responded to this host, and when it had not done so for a while.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Time without a response of the store after which a host tells the owner that it has no contact, in
+/// milliseconds.
+pub const CONTACT_GAP_MS: u64 = 2000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ContactTimes {
+    /// When the store last responded; 0 before the first response.
+    last_at: u64,
+    /// When the last gap of `CONTACT_GAP_MS` or more ended. The time before the first response is one.
+    gap_ended_at: u64,
+}
+
+/// This host's contact with the store, in milliseconds of its boot-time clock.
+#[derive(Clone, Debug, Default)]
+pub struct ContactLog {
+    times: Arc<Mutex<ContactTimes>>,
+}
+
+impl ContactLog {
+    /// Records a response of the store.
+    pub fn record(&self, now: u64) {
+        let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
+        if now >= times.last_at + CONTACT_GAP_MS {
+            times.gap_ended_at = now;
+        }
+        times.last_at = times.last_at.max(now);
+    }
+
+    /// Returns the time since the last response, in milliseconds.
+    #[must_use]
+    pub fn age_ms(&self, now: u64) -> u64 {
+        now.saturating_sub(self.times().last_at)
+    }
+
+    /// Returns whether the store responded to this host throughout the last `period_ms` milliseconds,
+    /// without a gap of `CONTACT_GAP_MS`.
+    #[must_use]
+    pub fn is_unbroken(&self, now: u64, period_ms: u64) -> bool {
+        let times = self.times();
+        now < times.last_at + CONTACT_GAP_MS && times.gap_ended_at + period_ms <= now
+    }
+
+    fn times(&self) -> ContactTimes {
+        *self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/host/src/store/key_layout.rs
+++ b/crates/host/src/store/key_layout.rs
@@ -31,16 +31,38 @@
     /// first; 0 for none.
     #[serde(default)]
     pub last_claims_unix_ms: [u64; REMEMBERED_CLAIMS],
-    /// Time by which the leases of the owner that wrote these totals have expired since its last
-    /// commit or its claim, in milliseconds; 0 if it does not bound them, as in earlier versions.
+    /// Bounds on the leases of the owner that wrote these totals; `None` if it is of an earlier
+    /// version, which does not bound them.
     #[serde(default)]
-    pub lease_bound_ms: u64,
+    pub lease_bounds: Option<LeaseBounds>,
     /// Time by which the leases of all owners before that one have expired, in milliseconds from any
     /// time after the claim that wrote these totals.
     #[serde(default)]
     pub earlier_lease_ms: u64,
 }
 
+/// Bounds on the leases that an owner grants, from its last stored commit or its claim.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseBounds {
+    /// Time by which they have expired, in milliseconds.
+    pub usual_ms: u64,
+    /// Time by which they have expired if the owner has observed that no host that could succeed it
+    /// reaches the store, in milliseconds.
+    pub extended_ms: u64,
+}
+
+impl LeaseBounds {
+    /// Returns the bound that a successor must wait for.
+    #[must_use]
+    pub fn bound_ms(self, may_be_extended: bool) -> u64 {
+        if may_be_extended {
+            self.extended_ms
+        } else {
+            self.usual_ms
+        }
+    }
+}
+
 /// Lease of the owner's record in the store, in milliseconds; no owner acts for longer after it was
 /// replaced.
 pub const OWNER_LEASE_MS: u64 = 6000;
@@ -107,38 +129,50 @@
             acting_ms,
             acting_until_unix_ms,
             largest_processor_milli: self.largest_processor_milli.max(processor_milli),
-            lease_bound_ms: 0,
-            earlier_lease_ms: self.lease_ms_at_claim(age_ms),
+            lease_bounds: None,
+            earlier_lease_ms: 0,
         }
     }
 
-    /// Returns these totals with the bound on the leases of the owner that writes them.
+    /// Returns these totals with the bounds on the leases of the owner that writes them, and by when
+    /// those of all owners before it have expired, in milliseconds from its claim.
     #[must_use]
-    pub fn with_lease_bound(self, lease_bound_ms: u64) -> Self {
+    pub fn with_lease_bounds(self, lease_bounds: LeaseBounds, earlier_lease_ms: u64) -> Self {
         Self {
-            lease_bound_ms,
+            lease_bounds: Some(lease_bounds),
+            earlier_lease_ms,
             ..self
         }
     }
 
     /// Returns by when the leases of all owners so far have expired, in milliseconds from a claim
-    /// that replaces these totals at least `age_ms` after they were written.
-    fn lease_ms_at_claim(&self, age_ms: u64) -> u64 {
-        match (self.owners, self.lease_bound_ms) {
-            (0, _) => 0,
-            (_, 0) => UNBOUNDED_LEASE_MS,
-            (_, bound_ms) => bound_ms.max(self.earlier_lease_ms.saturating_sub(age_ms)),
+    /// that replaces these totals at least `age_ms` after they were written. `may_be_extended` means
+    /// that the last owner may have observed that no host reached the store.
+    #[must_use]
+    pub fn lease_ms_at_claim(&self, age_ms: u64, may_be_extended: bool) -> u64 {
+        if self.owners == 0 {
+            return 0;
         }
+        let earlier_ms = self.earlier_lease_ms.saturating_sub(age_ms);
+        self.lease_bounds.map_or(UNBOUNDED_LEASE_MS, |bounds| {
+            bounds.bound_ms(may_be_extended).max(earlier_ms)
+        })
     }
 
     /// Returns a time by which the leases of all owners so far have expired. `written_by` is a time by
     /// which these totals had been written, and `confirmed_by` one by which these and all commits had
-    /// been. Returns `None` if the last owner does not bound its leases.
+    /// been; `may_be_extended` as in `lease_ms_at_claim`. Returns `None` if the last owner does not
+    /// bound its leases.
     #[must_use]
-    pub fn leases_expire_by(&self, written_by: u64, confirmed_by: u64) -> Option<u64> {
-        let last_owner = confirmed_by + self.lease_bound_ms;
-        let earlier_owners = written_by + self.earlier_lease_ms;
-        (self.lease_bound_ms > 0).then(|| last_owner.max(earlier_owners))
+    pub fn leases_expire_by(
+        &self,
+        written_by: u64,
+        confirmed_by: u64,
+        may_be_extended: bool,
+    ) -> Option<u64> {
+        let bounds = self.lease_bounds?;
+        let last_owner = confirmed_by + bounds.bound_ms(may_be_extended);
+        Some(last_owner.max(written_by + self.earlier_lease_ms))
     }
 }
 
--- a/crates/host/src/store/revision_log.rs
+++ b/crates/host/src/store/revision_log.rs
@@ -10,6 +10,7 @@
 use crate::clock::now_ms;
 use crate::peer::AgedRequest;
 use crate::ports::{ListRequest, StorePort, WatchRequest, WriteOutcome, WriteRequest, port};
+use crate::store::ContactLog;
 
 /// Time for which sightings are kept, in milliseconds; no wait that they shorten is longer.
 const RETENTION_MS: u64 = 15_000;
@@ -44,11 +45,13 @@
     sightings: Arc<Mutex<VecDeque<RevisionSighting>>>,
     /// Ordered by time.
     requests: Arc<Mutex<VecDeque<RevisionRequest>>>,
+    contacts: ContactLog,
 }
 
 impl RevisionLog {
     /// Records that the store was at or beyond a revision at a time.
     pub fn record(&self, revision: u64, seen_at: u64) {
+        self.contacts.record(seen_at);
         let mut sightings = self.lock();
         if sightings
             .back()
@@ -66,6 +69,12 @@
         }
     }
 
+    /// Returns this host's contact with the store.
+    #[must_use]
+    pub fn contacts(&self) -> &ContactLog {
+        &self.contacts
+    }
+
     /// Returns a time by which everything up to a revision had been written, if one is known. It may
     /// be much later than the write.
     #[must_use]
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -13,6 +13,7 @@
 mod forwarding;
 mod held_runs;
 mod incomplete_counts;
+mod lease_extension;
 mod notices;
 mod owners;
 mod peer_messages;
--- a/crates/host/tests/host/owners.rs
+++ b/crates/host/tests/host/owners.rs
@@ -1,7 +1,7 @@
 //! Ownership totals and the order of claims.
 
 use lagoonnotch_host::ownership::is_much_smaller;
-use lagoonnotch_host::store::OwnershipTotals;
+use lagoonnotch_host::store::{LeaseBounds, OwnershipTotals};
 
 /// In a chain of claims, the last owner must still wait for the first one, which was replaced
 /// without confirming that it stepped down and may act until its lease expires.
@@ -63,40 +63,47 @@
     assert_eq!(smaller, vec![true, false, false, false]);
 }
 
+/// Bounds of an owner of this version.
+const BOUNDS: LeaseBounds = LeaseBounds {
+    usual_ms: 8500,
+    extended_ms: 11_500,
+};
+
 /// Guards against waiting for a lost owner from the claim on: its leases expire a known time after its
 /// last commit.
 #[test]
 fn leases_of_a_lost_owner_expire_by_its_last_commit() {
     let first = OwnershipTotals::default().after_claim(false, 0, 1000, 250);
-    let first = first.with_lease_bound(8500);
+    let first = first.with_lease_bounds(BOUNDS, 0);
 
-    let expire_by = first.leases_expire_by(10_000, 42_000);
+    let usual = first.leases_expire_by(10_000, 42_000, false);
+    let extended = first.leases_expire_by(10_000, 42_000, true);
 
-    assert_eq!(expire_by, Some(50_500));
+    assert_eq!(usual, Some(50_500));
+    assert_eq!(extended, Some(53_500));
 }
 
-/// Guards against forgetting the leases of the owner before the last one, which may be of an earlier
+/// Guards against forgetting the leases of the owners before the last one, which may be of an earlier
 /// version that does not bound them.
 #[test]
 fn leases_of_owners_before_the_last_one_are_waited_for() {
     let unbounded = OwnershipTotals::default().after_claim(false, 0, 1000, 250);
-    let bounded = unbounded.with_lease_bound(8500);
-
-    let after_unbounded = unbounded.after_claim(true, 60_000, 61_000, 250);
-    let after_bounded = bounded.after_claim(true, 60_000, 61_000, 250);
-    let after_both = after_unbounded
-        .with_lease_bound(8500)
-        .after_claim(true, 2000, 63_000, 250);
-
-    // Arguments: when the last totals had been written, and when the last commit had been.
-    let expire_by = |totals: OwnershipTotals| {
-        totals
-            .with_lease_bound(8500)
-            .leases_expire_by(70_000, 71_000)
-    };
-    assert_eq!(expire_by(after_unbounded), Some(82_500));
-    assert_eq!(expire_by(after_bounded), Some(79_500));
-    assert_eq!(expire_by(after_both), Some(80_500));
+    let bounded = unbounded.with_lease_bounds(BOUNDS, 0);
+    let after_unbounded = bounded.with_lease_bounds(BOUNDS, unbounded.lease_ms_at_claim(0, false));
+
+    // By when all leases have expired, in milliseconds from a claim 2 s after the totals were written.
+    let at_claim = [
+        OwnershipTotals::default(),
+        unbounded,
+        bounded,
+        after_unbounded,
+    ]
+    .map(|totals| totals.lease_ms_at_claim(2000, false));
+    let expire_by = after_unbounded.leases_expire_by(70_000, 71_000, false);
+
+    assert_eq!(at_claim, [0, 12_500, 8500, 10_500]);
+    assert_eq!(bounded.lease_ms_at_claim(2000, true), 11_500);
+    assert_eq!(expire_by, Some(82_500));
 }
 
 /// Guards against a bound that an owner of an earlier version does not keep: its totals lack it.
@@ -106,5 +113,5 @@
 
     let totals: OwnershipTotals = serde_json::from_str(stored).expect("stored totals are readable");
 
-    assert_eq!(totals.leases_expire_by(1000, 2000), None);
+    assert_eq!(totals.leases_expire_by(1000, 2000, false), None);
 }
