Let extended leases last as long as those of before in an outage

With 11.5 s from the last commit, which can be 0.3 s older than the last renewal of the ownership, leases ended up to 0.35 s earlier in an outage than before the bound. The extended bound is now 12 s.

--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -55,7 +55,7 @@
         Self {
             task_lease_ms: 6000,
             lease_bound_ms: 8500,
-            extended_lease_bound_ms: 11_500,
+            extended_lease_bound_ms: 12_000,
             renewal_wait_ms: 1000,
             urgent_renewal_wait_ms: 500,
             idle_renewal_interval_ms: 1500,
