Log which bound on leases a new owner waits for

Event 1044 said how long runs of silent upstreams are held, but not whether that time allows for the longer leases of an outage. It now gives the bound by the last commits and whether it may be extended.

--- a/crates/fleet/src/owner/held_runs.rs
+++ b/crates/fleet/src/owner/held_runs.rs
@@ -76,6 +76,8 @@
     /// Time until every lease has expired according to the last commits of earlier owners, in
     /// milliseconds; `None` if it does not follow from them.
     pub commit_bound_ms: Option<u64>,
+    /// Whether that time allows for longer leases.
+    pub leases_may_be_extended: bool,
     /// Number of upstreams that the roster records as silent.
     pub silent_count: usize,
     /// Number of these whose leases expire earlier according to the roster.
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -101,6 +101,9 @@
     /// Time by which every lease of earlier owners has expired, in milliseconds on the new owner's
     /// clock; `None` if it does not follow from their last commits.
     pub leases_expire_by: Option<u64>,
+    /// Whether that time allows for longer leases, which the last owner may have granted while no host
+    /// reached the store.
+    pub leases_may_be_extended: bool,
     /// When the new owner requested its claim, in milliseconds on its clock.
     pub claimed_after: u64,
 }
@@ -130,6 +133,7 @@
             .push(OwnerEffect::ReportRecovery(RecoveryBound {
                 previous_owner_active_ms: recovered.previous_owner_active_ms,
                 task_lease_ms,
+                leases_may_be_extended: recovered.leases_may_be_extended,
                 commit_bound_ms: expire_by.map(|expire_by| expire_by.saturating_sub(now)),
                 ..self.recovery_bound(now)
             }));
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -265,6 +265,7 @@
                     0
                 },
                 leases_expire_by: self.leases_expire_by(),
+                leases_may_be_extended: false,
                 claimed_after: self.now,
             },
         );
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -400,6 +400,7 @@
         "previous_owner_active_ms": bound.previous_owner_active_ms,
         "task_lease_ms": bound.task_lease_ms,
         "commit_bound_ms": bound.commit_bound_ms,
+        "may_be_extended": bound.leases_may_be_extended,
         "silent": bound.silent_count,
         "stored_bounds": bound.stored_bound_count,
     }));
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -414,6 +414,7 @@
         let mut recovered = read.state;
         recovered.previous_owner_active_ms = claimed.previous_owner_active_ms;
         recovered.leases_expire_by = claimed.leases_expire_by(log, read.last_commit_revision);
+        recovered.leases_may_be_extended = claimed.may_be_extended;
         recovered.claimed_after = claimed.requested_at;
         let mut findings = DirectoryFindings::default();
         let directory = self.read_directory(&mut findings).await;
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -104,6 +104,7 @@
         stale_cancels,
         previous_owner_active_ms: 0,
         leases_expire_by: None,
+        leases_may_be_extended: false,
         claimed_after: 0,
     };
     let last_commit_revision = commits.iter().map(|item| item.revision).max();
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -704,6 +704,7 @@
             stale_cancels: Vec::new(),
             previous_owner_active_ms: 0,
             leases_expire_by: None,
+            leases_may_be_extended: false,
             claimed_after: self.now,
         };
         let started = Instant::now();
