Add failing tests of the wait after a lost owner

long_running_tasks_of_many_submissions_return_after_the_owner_is_lost_with_their_upstreams: eight submissions, five hosts that ask the policy service, queries of 740 ms.

The simulation's query duration is now a field; its default is the old 500 ms.

--- a/crates/fleet/tests/fleet/lost_owner.rs
+++ b/crates/fleet/tests/fleet/lost_owner.rs
@@ -1,5 +1,6 @@
 //! Runs on upstreams that are lost together with the owner.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec};
@@ -118,3 +119,72 @@
     assert!(runs_before > 0);
     assert_eq!(simulation.upstreams[&upstream].runs.len(), 0);
 }
+
+/// Guards against long-running tasks that stay away because the policy service is asked about them only
+/// after the wait for the leases, and the hosts ask one query at a time.
+#[test]
+fn long_running_tasks_of_many_submissions_return_after_the_owner_is_lost_with_their_upstreams() {
+    let policy = ticketed_queue("watch", 1);
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 12);
+    simulation.run_ms = Some(600_000);
+    simulation.query_hosts = 5;
+    simulation.query_ms = 740;
+    simulation.take_over();
+    for number in 0..8 {
+        let long_running = StepSpec {
+            long_running: true,
+            ..step(2)
+        };
+        simulation.submit(&submission(
+            &format!("s{number}"),
+            &policy,
+            vec![long_running],
+        ));
+    }
+    simulation.run_until(simulation.now + 6000);
+    let runs_before = run_count(&simulation);
+    let lost: BTreeSet<_> = simulation
+        .started
+        .iter()
+        .filter(|order| order.task.index == 0)
+        .map(|order| order.upstream.clone())
+        .collect();
+
+    for upstream in &lost {
+        lose_upstream(&mut simulation, upstream);
+    }
+    simulation.run_until(simulation.now + 100);
+    let lost_at = simulation.now;
+    replace_lost_owner(&mut simulation);
+    simulation.run_until(lost_at + RESTART_TARGET_MS);
+
+    assert_eq!((runs_before, run_count(&simulation)), (16, 16));
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
+/// Guards against running a finished task again because a late successor releases every run before the
+/// first list of its upstream arrives.
+#[test]
+fn late_successor_reads_the_lists_before_it_releases_runs() {
+    let policy = queue("maps", 1);
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 3);
+    simulation.run_ms = Some(1000);
+    simulation.take_over();
+    simulation.submit(&submission("s1", &policy, vec![step(1)]));
+    simulation.run_until(simulation.now + 300);
+    let upstream = simulation.started[0].upstream.clone();
+
+    simulation.owner = None;
+    simulation.predecessor_lost = true;
+    simulation.run_until(simulation.now + 9000);
+    simulation
+        .partitioned
+        .insert(upstream, simulation.now + 500);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 8000);
+
+    assert_eq!(simulation.started.len(), 1);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -149,6 +149,8 @@
     pub allowed: Option<BTreeSet<Arc<str>>>,
     /// Number of hosts that may query the policy service; read at a takeover.
     pub query_hosts: u32,
+    /// Duration of a query to the policy service, in milliseconds.
+    pub query_ms: u64,
     /// Duration of each run, in milliseconds; `None` draws it at random.
     pub run_ms: Option<u64>,
     /// Whether commits are neither stored nor replied to.
@@ -217,6 +219,7 @@
             queries: Vec::new(),
             allowed: None,
             query_hosts: 1,
+            query_ms: 500,
             run_ms: None,
             store_unavailable: false,
             deadly: BTreeSet::new(),
@@ -450,7 +453,10 @@
                     allowed,
                     valid_ms: 2000,
                 });
-                self.push(500, Message::QueryDone(epoch, order.query_id, answer));
+                self.push(
+                    self.query_ms,
+                    Message::QueryDone(epoch, order.query_id, answer),
+                );
             }
             OwnerEffect::ReportCrash(report) => self.crashes.push(report),
             OwnerEffect::ReportRecovery(bound) => self.recovery_bounds.push(bound),
