--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -179,7 +179,7 @@
     }
 
     /// Returns the time at which the last commit of a lane was sent.
-    pub fn sent_at(&self, lane: usize) -> u64 {
+    pub fn lane_sent_at(&self, lane: usize) -> u64 {
         self.lanes.get(lane).map_or(0, |lane| lane.last_sent_at)
     }
 
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -83,7 +83,7 @@
     pub(super) recovery_ends_at: u64,
     /// Time after which the store showed that this host is the owner: when it requested its claim,
     /// or sent the last commit that was stored.
-    pub(super) confirmed_at: u64,
+    pub(super) ownership_confirmed_at: u64,
     /// Time after which every host that could succeed this owner was asked and reached no store; 0 if
     /// never.
     pub(super) outage_observed_at: u64,
@@ -143,7 +143,7 @@
             isolation_ends_at: 0,
             took_over_at: 0,
             recovery_ends_at: 0,
-            confirmed_at: 0,
+            ownership_confirmed_at: 0,
             outage_observed_at: 0,
             roster_changed: false,
             expired_results: VecDeque::new(),
@@ -162,7 +162,8 @@
     /// stored, and so by when every lease has expired.
     pub(super) fn lease_terms(&self) -> LeaseTerms {
         let settings = &self.settings;
-        let extension_allowed_at = self.confirmed_at + settings.lease_extension_delay_ms();
+        let extension_allowed_at =
+            self.ownership_confirmed_at + settings.lease_extension_delay_ms();
         let bound_ms = if self.outage_observed_at >= extension_allowed_at {
             settings.extended_lease_bound_ms
         } else {
@@ -170,7 +171,7 @@
         };
         LeaseTerms {
             duration_ms: settings.task_lease_ms,
-            expires_by: self.confirmed_at + bound_ms,
+            expires_by: self.ownership_confirmed_at + bound_ms,
         }
     }
 
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -105,22 +105,22 @@
     /// reached the store.
     pub leases_may_be_extended: bool,
     /// When the new owner requested its claim, in milliseconds on its clock.
-    pub claimed_after: u64,
+    pub claim_requested_at: u64,
 }
 
 impl OwnerMachine {
     /// Restores the state from the store.
     pub fn recover(&mut self, now: u64, recovered: RecoveredState) {
         self.took_over_at = now;
-        self.confirmed_at = recovered.claimed_after;
+        self.ownership_confirmed_at = recovered.claim_requested_at;
         // As in `grant_lease`, 1021 thousandths allow for a slow upstream clock; 300 ms are a
         // margin.
         let task_lease_ms = self.settings.task_lease_ms * 1021 / 1000 + 300;
         self.recovery_ends_at = now + recovered.previous_owner_active_ms + task_lease_ms;
         let expire_by = recovered.leases_expire_by;
-        self.recovery_ends_at = expire_by.map_or(self.recovery_ends_at, |expire_by| {
-            expire_by.min(self.recovery_ends_at)
-        });
+        if let Some(expire_by) = expire_by {
+            self.recovery_ends_at = self.recovery_ends_at.min(expire_by);
+        }
         self.recovered_revision = recovered.revision;
         self.stale_cancels.extend(recovered.stale_cancels);
         for roster_entry in recovered.roster {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -389,7 +389,7 @@
     /// Handles the outcome of a commit.
     pub fn on_commit(&mut self, now: u64, batch: &CommitBatch, outcome: CommitOutcome) {
         let stored = outcome == CommitOutcome::Stored;
-        let sent_at = self.commits.sent_at(batch.lane);
+        let sent_at = self.commits.lane_sent_at(batch.lane);
         let ids = self.commits.finish(batch.lane, stored);
         match outcome {
             CommitOutcome::Fenced => self.step_down(),
@@ -401,7 +401,7 @@
                 self.roster_changed |= batch.roster.is_some();
             }
             CommitOutcome::Stored => {
-                self.confirmed_at = self.confirmed_at.max(sent_at);
+                self.ownership_confirmed_at = self.ownership_confirmed_at.max(sent_at);
                 self.placement.request_full();
                 for id in ids {
                     self.mark_stored(now, &id, batch);
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -567,7 +567,7 @@
         previous_owner_active_ms: 0,
         leases_expire_by: None,
         leases_may_be_extended: false,
-        claimed_after: 1000,
+        claim_requested_at: 1000,
     };
     owner.recover(1000, recovered);
     owner
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -269,7 +269,7 @@
                 },
                 leases_expire_by: self.leases_expire_by(),
                 leases_may_be_extended: false,
-                claimed_after: self.now,
+                claim_requested_at: self.now,
             },
         );
         self.predecessor_lost = false;
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -415,7 +415,7 @@
         recovered.previous_owner_active_ms = claimed.previous_owner_active_ms;
         recovered.leases_expire_by = claimed.leases_expire_by(log, read.last_commit_revision);
         recovered.leases_may_be_extended = claimed.may_be_extended;
-        recovered.claimed_after = claimed.requested_at;
+        recovered.claim_requested_at = claimed.requested_at;
         let mut findings = DirectoryFindings::default();
         let directory = self.read_directory(&mut findings).await;
         if let Some(read) = &directory {
--- a/crates/host/src/store/recovery_reader.rs
+++ b/crates/host/src/store/recovery_reader.rs
@@ -105,7 +105,7 @@
         previous_owner_active_ms: 0,
         leases_expire_by: None,
         leases_may_be_extended: false,
-        claimed_after: 0,
+        claim_requested_at: 0,
     };
     let last_commit_revision = commits.iter().map(|item| item.revision).max();
     Ok(RecoveryRead {
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -705,7 +705,7 @@
             previous_owner_active_ms: 0,
             leases_expire_by: None,
             leases_may_be_extended: false,
-            claimed_after: self.now,
+            claim_requested_at: self.now,
         };
         let started = Instant::now();
         let mut owner = OwnerMachine::new(
