--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -17,6 +17,10 @@
     LeaseTerm, OwnerEffect, OwnerMachine, RecoveryBound, ReleaseCause, UnlistedReport,
 };
 
+/// Minimum time for which a new owner waits for the first list of an upstream, in milliseconds. Finished
+/// runs are listed although all leases have expired.
+const FIRST_LIST_WAIT_MS: u64 = 2500;
+
 /// An upstream that may hold leases.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RosterEntry {
@@ -119,7 +123,8 @@
         self.recovery_ends_at = now + recovered.previous_owner_active_ms + task_lease_ms;
         let expire_by = recovered.leases_expire_by;
         if let Some(expire_by) = expire_by {
-            self.recovery_ends_at = self.recovery_ends_at.min(expire_by);
+            let bound = expire_by.max(now + FIRST_LIST_WAIT_MS);
+            self.recovery_ends_at = self.recovery_ends_at.min(bound);
         }
         self.recovered_revision = recovered.revision;
         self.stale_cancels.extend(recovered.stale_cancels);
