Wait for extended leases only until the owner commits after the outage

An owner that extended its leases was told of the gap in the host's contact. If the host saw the last commit after that gap, then the question was asked 3.5 s or more after the commit that the extension counts from, and the usual bound from the last commit ends later. So only a gap that ended after the last commit was seen means the longer bound. Replies to heartbeats after the question withhold the contact from hosts that were not asked, no longer from all.

--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -94,8 +94,11 @@
     heartbeats: HashMap<Arc<str>, u64>,
     /// When this host last requested a claim of the ownership.
     claim_requested_at: Option<u64>,
-    /// Until when heartbeats are answered as if the store were out of reach.
+    /// Until when heartbeats are answered as if the store were out of reach, except to the hosts in
+    /// `outage_observers`.
     outage_reported_until: u64,
+    /// Addresses of the hosts that did not reach the store when this one asked them.
+    outage_observers: HashSet<Arc<str>>,
 }
 
 /// State shared by the components of a host.
@@ -303,9 +306,10 @@
     /// actor is busy, for example recovering, still replies in time and is not considered lost.
     /// Peers are those of the last reply that the owner sent to this host. Counts are included only
     /// if this host counted them as the present owner a moment ago: those of an earlier owner, or
-    /// none yet, say nothing about the submissions that wait now.
+    /// none yet, say nothing about the submissions that wait now. `address` is that of the host that
+    /// sent the heartbeat.
     #[must_use]
-    pub fn heartbeat_reply(&self, known_peers_digest: u64) -> HeartbeatReply {
+    pub fn heartbeat_reply(&self, address: &str, known_peers_digest: u64) -> HeartbeatReply {
         let store_response_age_ms = self.store_response_age_ms();
         let state = self.lock();
         let now = now_ms();
@@ -317,7 +321,8 @@
             state.owned_epoch == Some(counts.epoch)
                 && now.saturating_sub(counts.counted_at) <= MAX_REPORTED_COUNT_AGE_MS
         });
-        let reported_age_ms = if now < state.outage_reported_until {
+        let reports_outage = now < state.outage_reported_until;
+        let reported_age_ms = if reports_outage && !state.outage_observers.contains(address) {
             store_response_age_ms.max(MAX_CONTACT_AGE_MS + 1)
         } else {
             store_response_age_ms
@@ -366,9 +371,12 @@
         self.lock().claim_requested_at = Some(now);
     }
 
-    /// Lets replies to heartbeats say until a time that this host does not reach the store.
-    pub fn report_outage_until(&self, until: u64) {
-        self.lock().outage_reported_until = until;
+    /// Lets replies to heartbeats say until a time that this host does not reach the store, except to
+    /// some hosts, by address.
+    pub fn report_outage_until(&self, until: u64, observers: HashSet<Arc<str>>) {
+        let mut state = self.lock();
+        state.outage_reported_until = until;
+        state.outage_observers = observers;
     }
 
     /// Returns the time since the store last responded to this host, for the owner of an epoch;
--- a/crates/host/src/ownership/claimed_ownership.rs
+++ b/crates/host/src/ownership/claimed_ownership.rs
@@ -1,5 +1,6 @@
 //! A stored claim, and what it says of the leases of earlier owners.
 
+use crate::ownership::ReplacedOwner;
 use crate::ports::LeaseGrant;
 use crate::store::{OwnerRecord, OwnershipTotals, RevisionLog};
 
@@ -22,21 +23,32 @@
     pub replaced_totals: OwnershipTotals,
     /// Revision of the replaced totals, which is the epoch of the last owner.
     pub replaced_revision: u64,
-    /// Whether the last owner may have observed that no host reached the store.
+    /// What this host knows of the last owner.
+    pub replaced_owner: ReplacedOwner,
+}
+
+/// By when the leases of earlier owners have expired.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EarlierLeases {
+    /// A time by which all have expired, in milliseconds on this host's clock; `None` if it does not
+    /// follow from the last commits.
+    pub expire_by: Option<u64>,
+    /// Whether that time allows for extended leases.
     pub may_be_extended: bool,
 }
 
 impl ClaimedOwnership {
-    /// Returns a time by which every lease of earlier owners has expired, in milliseconds on this
-    /// host's clock; `None` if it does not follow from their last commits. `last_commit_revision` was
-    /// read after the claim had been stored, since when they can't commit.
-    pub fn leases_expire_by(&self, log: &RevisionLog, last_commit_revision: u64) -> Option<u64> {
+    /// Returns by when the leases of earlier owners have expired. `last_commit_revision` was read after
+    /// the claim had been stored, since when they can't commit.
+    pub fn earlier_leases(&self, log: &RevisionLog, last_commit_revision: u64) -> EarlierLeases {
         let written_by = |revision| log.written_by(revision).unwrap_or(self.claimed_by);
-        let confirmed_revision = last_commit_revision.max(self.replaced_revision);
-        self.replaced_totals.leases_expire_by(
-            written_by(self.replaced_revision),
-            written_by(confirmed_revision),
-            self.may_be_extended,
-        )
+        let committed_by = written_by(last_commit_revision.max(self.replaced_revision));
+        let may_be_extended = self.replaced_owner.may_be_extended(committed_by);
+        let totals_written_by = written_by(self.replaced_revision);
+        let totals = &self.replaced_totals;
+        EarlierLeases {
+            expire_by: totals.leases_expire_by(totals_written_by, committed_by, may_be_extended),
+            may_be_extended,
+        }
     }
 }
--- a/crates/host/src/ownership/lease_extension.rs
+++ b/crates/host/src/ownership/lease_extension.rs
@@ -3,7 +3,8 @@
 //! An owner that can't commit lets its leases expire after the usual bound, for which a successor
 //! waits. While no host that could succeed it reaches the store, it uses a longer bound, so that runs
 //! survive an outage. A host waits only for the usual bound if the owner would have asked it, and it
-//! has reached the store all the while; each host tells from its own records whether this holds.
+//! has reached the store since before the owner's last commit; each host tells from its own records
+//! whether this holds.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -29,9 +30,9 @@
 /// Maximum age of the last heartbeat to an owner that would have asked this host, in milliseconds.
 const MAX_HEARTBEAT_AGE_MS: u64 = 10_000;
 
-/// Time within which contact with the store must be unbroken, in milliseconds; longer than extended
-/// leases last.
-const UNBROKEN_CONTACT_MS: u64 = 12_000;
+/// Time for which replies to heartbeats of other hosts than those asked say that this host does not
+/// reach the store, in milliseconds; extended leases do not last longer.
+const NEW_FOLLOWER_DELAY_MS: u64 = 12_000;
 
 /// Time for which a host that has requested a claim does not answer the question, in milliseconds;
 /// longer than extended leases last. The claim may be stored although the host does not know it.
@@ -40,24 +41,45 @@
 /// Number of hosts that are asked at a time.
 const PARALLEL_QUESTIONS: usize = 16;
 
-/// Returns whether the leases of an owner may have the longer bound: it did not have to ask this host,
-/// or this host may have said that it had no contact. `heartbeat_at` is when this host sent its last
-/// heartbeat to that owner whose reply showed that the owner reached the store.
-#[must_use]
-pub fn may_be_extended(now: u64, heartbeat_at: Option<u64>, contacts: &ContactLog) -> bool {
-    let had_to_ask = heartbeat_at.is_some_and(|sent_at| now < sent_at + MAX_HEARTBEAT_AGE_MS);
-    !had_to_ask || !contacts.is_unbroken(now, UNBROKEN_CONTACT_MS)
+/// What a host knows of the owner that it replaces.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReplacedOwner {
+    /// Whether the owner had to ask this host before it extended its leases.
+    pub had_to_ask: bool,
+    /// When the last gap ended in this host's contact with the store, in milliseconds on its clock.
+    pub gap_ended_at: u64,
+}
+
+impl ReplacedOwner {
+    /// Returns what a host knows that sent its last heartbeat to the owner at `heartbeat_at`, among
+    /// those whose reply showed that the owner reached the store.
+    #[must_use]
+    pub fn new(now: u64, heartbeat_at: Option<u64>, contacts: &ContactLog) -> Self {
+        Self {
+            had_to_ask: heartbeat_at.is_some_and(|sent_at| now < sent_at + MAX_HEARTBEAT_AGE_MS),
+            gap_ended_at: contacts.gap_ended_at(),
+        }
+    }
+
+    /// Returns whether the leases of the owner may have the longer bound, if its last commit had been
+    /// stored by a time.
+    ///
+    /// An owner that has extended its leases was told of a gap in this host's contact. If the host saw
+    /// the last commit after the end of that gap, the usual bound from then on is the later one.
+    #[must_use]
+    pub fn may_be_extended(&self, committed_by: u64) -> bool {
+        !self.had_to_ask || self.gap_ended_at >= committed_by
+    }
 }
 
 impl OwnershipContext {
-    /// Returns whether the leases of the owner of an epoch may have the longer bound, as far as this
-    /// host knows.
-    pub(super) fn may_be_extended(&self, epoch: u64) -> bool {
+    /// Returns what this host knows of the owner of an epoch.
+    pub(super) fn replaced_owner(&self, epoch: u64) -> ReplacedOwner {
         let health = *self.health.borrow();
         let heartbeat_at = health.heartbeat_in_contact_at;
         let heartbeat_at = heartbeat_at.filter(|_| health.epoch == epoch);
         let contacts = self.view.revision_log().contacts();
-        may_be_extended(now_ms(), heartbeat_at, contacts)
+        ReplacedOwner::new(now_ms(), heartbeat_at, contacts)
     }
 
     /// Extends the bound on leases of this host as the owner while no host reaches the store, until
@@ -94,9 +116,9 @@
             return false;
         }
         // From here on, no heartbeat makes another host count as asked.
-        let until = now_ms() + UNBROKEN_CONTACT_MS;
-        self.view.report_outage_until(until);
         let asked: HashSet<_> = asked.into_iter().collect();
+        let until = now_ms() + NEW_FOLLOWER_DELAY_MS;
+        self.view.report_outage_until(until, asked.clone());
         followers().iter().all(|address| asked.contains(address))
     }
 
--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -12,7 +12,7 @@
 pub use accepted_cursor::{AcceptedCursor, WatchCoverage};
 pub use claim_policy::{ClaimEvidence, claim_reason};
 pub use departures::departure_report_age_ms;
-pub use lease_extension::may_be_extended;
+pub use lease_extension::ReplacedOwner;
 pub use ownership_claimer::{OwnershipClaimer, OwnershipContext, is_much_smaller};
 
 pub(crate) use lease_extension::CLAIM_MEMORY_MS;
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -289,7 +289,9 @@
         let written_by = self.view.revision_log().written_by(totals_revision);
         let totals_written_by = written_by.unwrap_or(requested_at);
         let totals_age_ms = now_ms().saturating_sub(totals_written_by);
-        let may_be_extended = self.may_be_extended(totals_revision);
+        let replaced_owner = self.replaced_owner(totals_revision);
+        let extension_ends_by = now_ms().saturating_sub(self.lease_bounds.extended_ms);
+        let may_be_extended = replaced_owner.may_be_extended(extension_ends_by);
         let new_totals = totals
             .after_claim(
                 previous_host_record.is_some(),
@@ -301,24 +303,10 @@
                 self.lease_bounds,
                 totals.lease_ms_at_claim(totals_age_ms, may_be_extended),
             );
-        let (Ok(value), Ok(new_totals_value)) =
-            (serde_json::to_vec(&record), serde_json::to_vec(&new_totals))
-        else {
+        let revisions = (observation.revision, totals_revision);
+        let Some(request) = claim_request(&record, &new_totals, revisions, lease) else {
             return;
         };
-        let request = WriteRequest {
-            expected: vec![
-                (OWNER_KEY.to_owned(), observation.revision),
-                (OWNERSHIP_TOTALS_KEY.to_owned(), totals_revision),
-            ],
-            set: vec![(
-                OWNERSHIP_TOTALS_KEY.to_owned(),
-                Bytes::from(new_totals_value),
-            )],
-            set_leased: vec![(OWNER_KEY.to_owned(), Bytes::from(value))],
-            lease_id: lease.lease_id,
-            delete: Vec::new(),
-        };
         let epoch = match (self.ports.store.write)(request).await {
             WriteOutcome::Applied(revision) => Some(revision),
             WriteOutcome::Unknown => self.read_back_claim(&record).await,
@@ -367,7 +355,7 @@
             previous_owner_active_ms,
             replaced_totals: totals,
             replaced_revision: totals_revision,
-            may_be_extended,
+            replaced_owner,
         })
         .await;
     }
@@ -413,8 +401,9 @@
         }
         let mut recovered = read.state;
         recovered.previous_owner_active_ms = claimed.previous_owner_active_ms;
-        recovered.leases_expire_by = claimed.leases_expire_by(log, read.last_commit_revision);
-        recovered.leases_may_be_extended = claimed.may_be_extended;
+        let earlier_leases = claimed.earlier_leases(log, read.last_commit_revision);
+        recovered.leases_expire_by = earlier_leases.expire_by;
+        recovered.leases_may_be_extended = earlier_leases.may_be_extended;
         recovered.claim_requested_at = claimed.requested_at;
         let mut findings = DirectoryFindings::default();
         let directory = self.read_directory(&mut findings).await;
@@ -522,6 +511,27 @@
     }
 }
 
+/// Returns the write of a claim that replaces the owner's record and the totals of these revisions.
+fn claim_request(
+    record: &OwnerRecord,
+    totals: &OwnershipTotals,
+    (record_revision, totals_revision): (u64, u64),
+    lease: LeaseGrant,
+) -> Option<WriteRequest> {
+    let record = serde_json::to_vec(record).ok()?;
+    let totals = serde_json::to_vec(totals).ok()?;
+    Some(WriteRequest {
+        expected: vec![
+            (OWNER_KEY.to_owned(), record_revision),
+            (OWNERSHIP_TOTALS_KEY.to_owned(), totals_revision),
+        ],
+        set: vec![(OWNERSHIP_TOTALS_KEY.to_owned(), Bytes::from(totals))],
+        set_leased: vec![(OWNER_KEY.to_owned(), Bytes::from(record))],
+        lease_id: lease.lease_id,
+        delete: Vec::new(),
+    })
+}
+
 /// Returns whether a host has much less CPU capacity than another: under two thirds.
 #[must_use]
 pub fn is_much_smaller(processor_milli: u32, other_milli: u32) -> bool {
--- a/crates/host/src/peer/peer_server.rs
+++ b/crates/host/src/peer/peer_server.rs
@@ -88,11 +88,10 @@
 
 impl PeerService for PeerServer {
     async fn heartbeat(self, _: Context, request: HeartbeatRequest) -> HeartbeatReply {
-        let peers_digest = request.peers_digest;
-        self.view
-            .record_heartbeat(request.address.clone(), now_ms());
+        let (address, peers_digest) = (request.address.clone(), request.peers_digest);
+        self.view.record_heartbeat(address.clone(), now_ms());
         self.control.notify_heartbeat(request).await;
-        self.view.heartbeat_reply(peers_digest)
+        self.view.heartbeat_reply(&address, peers_digest)
     }
 
     async fn step_down(self, _: Context, epoch: u64) -> bool {
--- a/crates/host/src/store/contact_log.rs
+++ b/crates/host/src/store/contact_log.rs
@@ -36,12 +36,10 @@
         now.saturating_sub(self.times().last_at)
     }
 
-    /// Returns whether the store responded to this host throughout the last `period_ms` milliseconds,
-    /// without a gap of `CONTACT_GAP_MS`.
+    /// Returns when the last gap ended in this host's contact; 0 before the first response.
     #[must_use]
-    pub fn is_unbroken(&self, now: u64, period_ms: u64) -> bool {
-        let times = self.times();
-        now < times.last_at + CONTACT_GAP_MS && times.gap_ended_at + period_ms <= now
+    pub fn gap_ended_at(&self) -> u64 {
+        self.times().gap_ended_at
     }
 
     fn times(&self) -> ContactTimes {
