Query the policy service before held long-running runs are released

After a takeover the runs of silent upstreams are held until their leases have expired. Only then did the steps of their tasks query the policy service, which takes 0.6 to 0.8 s, so long-running tasks came back that much later.

A full placement pass now also examines the long-running steps whose runs on silent upstreams are released within the duration of a query and half of the validity of a ticket. Such a step queries in scheduling order, as it would after the release, if a host is free, and not again while a query is in flight or its tickets outlast the release. Nothing is released, counted, reserved or started earlier. Gangs and steps that are not long-running query after the release as before.

--- a/crates/fleet/src/owner/held_runs.rs
+++ b/crates/fleet/src/owner/held_runs.rs
@@ -1,9 +1,16 @@
-//! Reports of the runs that stay allocated on silent upstreams because their leases may last.
+//! Runs that stay allocated on silent upstreams because their leases may last.
+//!
+//! Long-running tasks must restart soon. So their steps query the policy service while their runs
+//! are still held, and have tickets when these are released.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crate::owner::OwnerEffect;
+use crate::model::StepSpec;
+use crate::owner::ready_list::ReadyStep;
+use crate::owner::submission_entry::SubmissionEntry;
 use crate::owner::upstream_entry::UpstreamEntry;
+use crate::owner::{OwnerEffect, OwnerMachine};
 
 /// Where the bound on an upstream's leases comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -153,3 +160,63 @@
         }))
     }
 }
+
+impl OwnerMachine {
+    /// Returns the long-running steps with runs on silent upstreams that are about to be released.
+    pub(super) fn steps_released_soon(&mut self, now: u64, unix_ms: u64) -> Vec<Arc<ReadyStep>> {
+        if self.held_run_count == 0 {
+            return Vec::new();
+        }
+        let mut submissions = BTreeSet::new();
+        for entry in self
+            .upstreams
+            .values()
+            .filter(|entry| entry.held_since.is_some())
+        {
+            let long_running = entry.runs.iter().filter(|(_, run)| run.long_running);
+            submissions.extend(long_running.map(|(name, _)| name.submission.clone()));
+        }
+        let select = |entry: &SubmissionEntry, _| {
+            let steps = (0_u32..).zip(&entry.record.steps);
+            let long_running = steps.filter(|(_, spec)| spec.long_running);
+            long_running.map(|(number, _)| number).collect()
+        };
+        let mut steps = Vec::new();
+        for id in submissions {
+            let found = self.find_steps(&id, now, unix_ms, select);
+            steps.extend(found.into_iter().filter(|ready| {
+                let spec = &self.submissions[&id].record.steps[ready.step as usize];
+                self.tasks_released_soon(now, ready, spec) > 0
+            }));
+        }
+        steps
+    }
+
+    /// Returns the number of tasks of a long-running step whose runs on silent upstreams are about
+    /// to be released without valid tickets for the next ones.
+    pub(super) fn tasks_released_soon(
+        &self,
+        now: u64,
+        ready: &ReadyStep,
+        spec: &StepSpec,
+    ) -> usize {
+        let (Some(service), Some(step)) = (ready.queue.policy_service, self.step_of(ready)) else {
+            return 0;
+        };
+        if !spec.long_running || spec.gang {
+            return 0;
+        }
+        // The answer may come late by half of the tickets' validity, because hosts are busy.
+        let within_ms = service.query_ms() + service.valid_ms / 2;
+        let is_released_soon = |id: &&Arc<str>| {
+            let entry = self.upstreams.get(*id);
+            entry.is_some_and(|entry| {
+                entry.held_since.is_some()
+                    && entry.leases_expire_at <= now + within_ms
+                    && entry.leases_expire_at >= step.tickets_expire_at
+            })
+        };
+        let upstreams = step.tasks.iter().filter_map(|task| task.upstream.as_ref());
+        upstreams.filter(is_released_soon).count()
+    }
+}
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -70,22 +70,53 @@
         unplaced: usize,
         view: &mut FleetView,
     ) {
-        let Some(service) = ready.queue.policy_service else {
-            return;
-        };
-        let Some(step) = self.step_of(ready) else {
-            return;
-        };
-        if !step.pending_queries.is_empty()
-            || now < step.query_not_before
-            || !self.queries.has_free_host(now, service.is_long())
-        {
+        if !self.may_query(now, ready) {
             return;
         }
         let minimum_demand = request.minimum_demand();
-        if !minimum_demand.fits(&self.cached_team_headroom(request.team(), view)) {
-            return;
+        if minimum_demand.fits(&self.cached_team_headroom(request.team(), view)) {
+            self.plan_and_send(now, ready, request, unplaced, view);
+        }
+    }
+
+    /// Queries the policy service for the tasks of a step whose runs on silent upstreams are about
+    /// to be released, if a host is free. The team's upper limit is not checked: until then, these
+    /// runs count against it.
+    pub(super) fn query_before_release(
+        &mut self,
+        now: u64,
+        ready: &ReadyStep,
+        request: &PlacementRequest,
+        view: &mut FleetView,
+    ) {
+        let released_soon = self.tasks_released_soon(now, ready, request.spec());
+        if released_soon > 0 && self.may_query(now, ready) {
+            self.plan_and_send(now, ready, request, released_soon, view);
         }
+    }
+
+    /// Returns whether the step may query now, and a host is free.
+    fn may_query(&self, now: u64, ready: &ReadyStep) -> bool {
+        let (Some(service), Some(step)) = (ready.queue.policy_service, self.step_of(ready)) else {
+            return false;
+        };
+        step.pending_queries.is_empty()
+            && now >= step.query_not_before
+            && self.queries.has_free_host(now, service.is_long())
+    }
+
+    /// Sends the step's query, or delays the next attempt if no upstream has room.
+    fn plan_and_send(
+        &mut self,
+        now: u64,
+        ready: &ReadyStep,
+        request: &PlacementRequest,
+        unplaced: usize,
+        view: &mut FleetView,
+    ) {
+        let Some(service) = ready.queue.policy_service else {
+            return;
+        };
         let plan = self.plan_query(now, ready, request, unplaced as u64, service, view);
         let sent = plan.is_some_and(|plan| self.send_or_defer(now, ready, plan, view));
         if !sent && let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step)
--- a/crates/fleet/src/owner/ready_list.rs
+++ b/crates/fleet/src/owner/ready_list.rs
@@ -133,7 +133,8 @@
 
 impl OwnerMachine {
     /// Returns the steps in scope with tasks that may start, in scheduling order. Steps that can
-    /// only wait for tickets are left out.
+    /// only wait for tickets are left out. A full pass also gets the steps that query before their
+    /// runs on silent upstreams are released.
     pub(super) fn ready_steps(
         &mut self,
         now: u64,
@@ -148,13 +149,17 @@
             self.ready.mark_changed(&id);
         }
         for id in std::mem::take(&mut self.ready.changed) {
-            let steps = self.find_ready(&id, now, unix_ms);
+            let steps = self.find_steps(&id, now, unix_ms, startable_steps);
             if steps.is_empty() {
                 self.ready.steps.remove(&id);
             } else {
                 self.ready.steps.insert(id, steps);
             }
         }
+        let released_soon = match scope {
+            PlacementScope::All => self.steps_released_soon(now, unix_ms),
+            PlacementScope::Urgent | PlacementScope::Fresh => Vec::new(),
+        };
         let fresh = std::mem::take(&mut self.ready.fresh);
         let is_urgent = |step: &&Arc<ReadyStep>| {
             step.priority == 0 && step.deadline_status(now) == DeadlineStatus::OnTime
@@ -165,7 +170,7 @@
         let mut ready: Vec<_> = match scope {
             PlacementScope::All => {
                 let all = steps.values().flatten().filter(is_examined);
-                all.cloned().collect()
+                all.cloned().chain(released_soon).collect()
             }
             PlacementScope::Urgent => {
                 let urgent = steps.values().flatten().filter(is_urgent);
@@ -184,8 +189,15 @@
         ready
     }
 
-    /// Finds the steps of a submission with waiting tasks whose dependencies are done.
-    fn find_ready(&mut self, id: &Arc<str>, now: u64, unix_ms: u64) -> Vec<Arc<ReadyStep>> {
+    /// Returns the steps of a submission that are selected in each occurrence that is due and not
+    /// done.
+    pub(super) fn find_steps(
+        &mut self,
+        id: &Arc<str>,
+        now: u64,
+        unix_ms: u64,
+        select: impl Fn(&SubmissionEntry, u32) -> Vec<u32>,
+    ) -> Vec<Arc<ReadyStep>> {
         let mut ready = Vec::new();
         let Some(entry) = self.submissions.get(id).filter(|entry| entry.is_active()) else {
             return ready;
@@ -209,8 +221,8 @@
             } else {
                 now.saturating_sub(unix_ms - due_unix_ms)
             };
-            let startable = startable_steps(entry, number);
-            ready.extend(startable.into_iter().map(|step| {
+            let selected = select(entry, number);
+            ready.extend(selected.into_iter().map(|step| {
                 let spec = &entry.record.steps[step as usize];
                 Arc::new(ReadyStep {
                     submission: id.clone(),
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -69,6 +69,7 @@
             claim.release_in(view);
         }
         if request.startable.is_empty() {
+            self.query_before_release(now, ready, &request, view);
             self.recheck_if_none_waiting(ready);
             return;
         }
