Plan policy queries without ranking the whole pool

Cause: planning a query examined every upstream of the pool twice, once to add up the room and once to collect candidates, and then chose 40 of them.

Change: room on allowed upstreams is added up over the step's own tickets, all room only until it suffices, and candidates are collected only until 40 have the best rank that a first query can give. The chosen upstreams are the same: later positions rank after earlier ones with the same room.

--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -68,6 +68,8 @@
 pub(super) struct CapacityForecast {
     /// Capacity that becomes free, by upstream position.
     pub freed: Vec<ResourceSize>,
+    /// CPU that is free or becomes free, by upstream position.
+    free_cpu: Vec<u64>,
     /// Upstream positions by the CPU that is free or becomes free, most first. The CPU that is
     /// actually free may be less, because steps are placed after the forecast was made.
     by_free_cpu: Vec<(u64, usize)>,
@@ -76,16 +78,23 @@
 impl CapacityForecast {
     /// Creates the forecast of a pool.
     pub fn new(upstreams: &[UpstreamView], freed: Vec<ResourceSize>) -> Self {
-        let mut by_free_cpu: Vec<_> = upstreams
+        let free_cpu: Vec<_> = upstreams
             .iter()
             .zip(&freed)
-            .enumerate()
-            .map(|(position, (upstream, freed))| {
-                (upstream.free.cpu_milli + freed.cpu_milli, position)
-            })
+            .map(|(upstream, freed)| upstream.free.cpu_milli + freed.cpu_milli)
             .collect();
+        let mut by_free_cpu: Vec<_> = free_cpu.iter().copied().zip(0..).collect();
         by_free_cpu.sort_unstable_by_key(|(cpu_milli, _)| std::cmp::Reverse(*cpu_milli));
-        Self { freed, by_free_cpu }
+        Self {
+            freed,
+            free_cpu,
+            by_free_cpu,
+        }
+    }
+
+    /// Returns whether an upstream is among those of `positions_with_cpu`.
+    pub fn has_cpu(&self, position: usize, cpu_milli: u64) -> bool {
+        self.free_cpu[position] >= cpu_milli
     }
 
     /// Returns the positions of the upstreams that may have this much CPU, and possibly others.
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -202,41 +202,52 @@
             let freed = &forecast.freed[*position];
             allocation.fits(&pool.upstreams[*position].free_with(freed))
         };
-        // Few upstreams of a full pool have room, and most examinations end here.
-        let mut candidates: Vec<_> = forecast
-            .positions_with_cpu(allocation.cpu_milli)
+        let needed_capacity = if request.spec().gang { unplaced } else { 1 };
+        let positions_of_tickets = step.tickets.keys().filter_map(|index| {
+            let position = view.position_of(*index)?;
+            let found = pool.upstreams.get(position)?;
+            (found.index == *index).then_some(position)
+        });
+        let mut candidates: Vec<_> = positions_of_tickets
+            .filter(|position| forecast.has_cpu(*position, allocation.cpu_milli))
             .filter(has_room)
             .filter_map(candidate)
             .filter(|candidate| candidate.task_capacity > 0)
             .collect();
-        let capacity_of = |candidates: &[QueryCandidate], known_allowed_only: bool| {
-            candidates
-                .iter()
-                .filter(|candidate| candidate.known_allowed || !known_allowed_only)
-                .fold(0, |sum: u64, candidate| {
-                    sum.saturating_add(candidate.task_capacity)
-                })
-        };
-        let needed_capacity = if request.spec().gang { unplaced } else { 1 };
-        let allowed_capacity = capacity_of(&candidates, true);
-        let total_capacity = capacity_of(&candidates, false);
-        if allowed_capacity >= needed_capacity {
-            candidates.retain(|candidate| candidate.known_allowed);
-        } else if total_capacity < needed_capacity {
-            return None;
-        } else {
+        let allowed_capacity = candidates
+            .iter()
+            .fold(0, |sum: u64, found| sum.saturating_add(found.task_capacity));
+        let tasks_in_expected_use = self.tasks_in_expected_use(&ready.queue.pool, &allocation);
+        let wanted_capacity = tasks_in_expected_use + as_f64(needed_capacity);
+        // Few upstreams of a full pool have room, and most examinations end here.
+        let mut total_capacity: u64 = 0;
+        let roomy = forecast.positions_with_cpu(allocation.cpu_milli);
+        for found in roomy.filter(has_room).filter_map(candidate) {
+            total_capacity = total_capacity.saturating_add(found.task_capacity);
+            if total_capacity >= needed_capacity && as_f64(total_capacity) >= wanted_capacity {
+                break;
+            }
+        }
+        if allowed_capacity < needed_capacity {
+            if total_capacity < needed_capacity {
+                return None;
+            }
+            let is_candidate = |candidate: &QueryCandidate| {
+                candidate.task_capacity > 0 || !candidate.known_allowed
+            };
             let positions = 0..pool.upstreams.len();
-            candidates = positions
-                .clone()
-                .filter(has_room)
-                .filter_map(candidate)
-                .filter(|candidate| candidate.task_capacity > 0 || !candidate.known_allowed)
-                .collect();
+            let with_room = positions.clone().filter(has_room).filter_map(candidate);
+            let is_first_choice = |candidate: &QueryCandidate| {
+                step.tickets.is_empty()
+                    && candidate.near_data
+                    && candidate.task_capacity >= unplaced
+            };
+            candidates = first_choices(with_room.filter(is_candidate), is_first_choice);
             // Full upstreams come after all others, except those near the data.
             if candidates.len() < MAX_QUERIED_UPSTREAMS || request.spec().data_rack.is_some() {
                 candidates = positions
                     .filter_map(candidate)
-                    .filter(|candidate| candidate.task_capacity > 0 || !candidate.known_allowed)
+                    .filter(is_candidate)
                     .collect();
             }
         }
@@ -273,13 +284,11 @@
             expected_tasks += as_f64(candidate.task_capacity.min(unplaced)) * likelihood;
             queried.push(pool.upstreams[candidate.position].id.clone());
         }
-        let tasks_in_expected_use = self.tasks_in_expected_use(&ready.queue.pool, &allocation);
         (!queried.is_empty()).then(|| QueryPlan {
             upstreams: queried,
             in_parallel: false,
             expected_use: allocation.saturating_mul(whole_tasks(expected_tasks).min(unplaced)),
-            has_room: request.spec().long_running
-                || as_f64(total_capacity) >= tasks_in_expected_use + as_f64(needed_capacity),
+            has_room: request.spec().long_running || as_f64(total_capacity) >= wanted_capacity,
         })
     }
 
@@ -367,6 +376,24 @@
     }
 }
 
+/// Collects candidates in the order of their positions, until as many as a query can name are
+/// first choices, which none that follows outranks.
+fn first_choices(
+    candidates: impl Iterator<Item = QueryCandidate>,
+    is_first_choice: impl Fn(&QueryCandidate) -> bool,
+) -> Vec<QueryCandidate> {
+    let mut found = Vec::new();
+    let mut missing = MAX_QUERIED_UPSTREAMS;
+    for candidate in candidates {
+        missing -= usize::from(is_first_choice(&candidate));
+        found.push(candidate);
+        if missing == 0 {
+            break;
+        }
+    }
+    found
+}
+
 /// Returns what a query about an upstream could bring; `None` if the step has a valid ticket there,
 /// or could not run there.
 fn query_candidate(
