--- a/crates/host/src/ownership/mod.rs
+++ b/crates/host/src/ownership/mod.rs
@@ -7,6 +7,7 @@
 mod lease_extension;
 mod owner_polling;
 mod owner_watch;
+mod ownership_claim;
 mod ownership_claimer;
 
 pub use accepted_cursor::{AcceptedCursor, WatchCoverage};
--- a/crates/host/src/ownership/ownership_claimer.rs
+++ b/crates/host/src/ownership/ownership_claimer.rs
@@ -7,27 +7,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use lagoonnotch_fleet::owner::OwnerSettings;
-use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::clock::{now_ms, unix_ms};
 use crate::control::{ControlHandle, ControlInput, HostView, OwnerInfo, OwnershipGrant};
-use crate::event::FleetEvent;
 use crate::metrics::{WorkKind, measured};
 use crate::ownership::claimed_ownership::ClaimedOwnership;
 use crate::ownership::owner_polling::DirectoryFindings;
 use crate::ownership::owner_watch::{OwnerHealth, OwnerObservation};
 use crate::ownership::{AcceptedCursor, ClaimEvidence, claim_reason};
 use crate::peer::PeerClients;
-use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteOutcome, WriteRequest};
+use crate::ports::{LeaseGrant, PlatformPorts, StoreError, WriteRequest};
 use crate::settings::FleetSettings;
-use crate::store::{
-    LeaseBounds, OWNER_KEY, OWNER_LEASE_MS, OWNERSHIP_TOTALS_KEY, OwnerRecord, OwnershipTotals,
-    commit_key, read_recovery_state,
-};
+use crate::store::{LeaseBounds, OWNER_KEY, OwnershipTotals, commit_key, read_recovery_state};
 
 /// Time between renewals of the ownership.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -262,125 +256,8 @@
         claim_reason(&evidence)
     }
 
-    /// Replaces the owner's record as it was observed when the claim was decided.
-    async fn claim(
-        &self,
-        reason: &'static str,
-        observation: OwnerObservation,
-        (totals, totals_revision): (OwnershipTotals, u64),
-    ) {
-        FleetEvent::OwnershipClaimed
-            .emit(json!({"reason": reason, "replaces": observation.revision}));
-        let requested_at = now_ms();
-        self.view.record_claim(requested_at);
-        let Ok(lease) = (self.ports.store.grant)(OWNER_LEASE_MS).await else {
-            return;
-        };
-        let record = OwnerRecord {
-            host: self.host.clone(),
-            address: self.address.clone(),
-            generation: totals.owners,
-            claim: rand::random(),
-        };
-        let previous_host_record = observation
-            .record
-            .as_ref()
-            .filter(|previous_record| previous_record.host != self.host);
-        let written_by = self.view.revision_log().written_by(totals_revision);
-        let totals_written_by = written_by.unwrap_or(requested_at);
-        let totals_age_ms = now_ms().saturating_sub(totals_written_by);
-        let replaced_owner = self.replaced_owner(totals_revision);
-        let extension_ends_by = now_ms().saturating_sub(self.lease_bounds.extended_ms);
-        let may_be_extended = replaced_owner.may_be_extended(extension_ends_by);
-        let new_totals = totals
-            .after_claim(
-                previous_host_record.is_some(),
-                totals_age_ms,
-                unix_ms(),
-                self.processor_milli,
-            )
-            .with_lease_bounds(
-                self.lease_bounds,
-                totals.lease_ms_at_claim(totals_age_ms, may_be_extended),
-            );
-        let revisions = (observation.revision, totals_revision);
-        let Some(request) = claim_request(&record, &new_totals, revisions, lease) else {
-            return;
-        };
-        let epoch = match (self.ports.store.write)(request).await {
-            WriteOutcome::Applied(revision) => Some(revision),
-            WriteOutcome::Unknown => self.read_back_claim(&record).await,
-            _ => None,
-        };
-        let Some(epoch) = epoch else {
-            let _ = (self.ports.store.revoke)(lease.lease_id).await;
-            return;
-        };
-        // The predecessor can have renewed its lease until the claim was stored.
-        let claimed_by = now_ms();
-        let predecessor_stopped = match previous_host_record {
-            Some(previous_record) => {
-                let reply = self
-                    .clients
-                    .step_down(&previous_record.address, epoch)
-                    .await;
-                matches!(reply, Ok(true))
-            }
-            None => true,
-        };
-        // If the predecessor did not confirm that it stepped down, it may act until its lease
-        // expires, as the new totals say.
-        let (effective_totals, written_by) = if predecessor_stopped {
-            (totals, totals_written_by)
-        } else {
-            (new_totals, claimed_by)
-        };
-        let age_ms = now_ms().saturating_sub(written_by);
-        let previous_owner_active_ms = effective_totals.remaining_acting_ms(age_ms);
-        if let Some(previous_record) = previous_host_record {
-            FleetEvent::StepDownRequested.emit(json!({
-                "epoch": epoch,
-                "predecessor": previous_record.host,
-                "confirmed": predecessor_stopped,
-                "waited_ms": now_ms().saturating_sub(claimed_by),
-                "previous_owner_active_ms": previous_owner_active_ms,
-            }));
-        }
-        self.maintain_ownership(ClaimedOwnership {
-            epoch,
-            record,
-            lease,
-            requested_at,
-            claimed_by,
-            previous_owner_active_ms,
-            replaced_totals: totals,
-            replaced_revision: totals_revision,
-            replaced_owner,
-        })
-        .await;
-    }
-
-    /// Reads the ownership totals and their revision.
-    async fn read_totals(&self) -> Option<(OwnershipTotals, u64)> {
-        match (self.ports.store.read)(OWNERSHIP_TOTALS_KEY.to_owned()).await {
-            Ok(item) => {
-                let totals = serde_json::from_slice(&item.value).ok()?;
-                Some((totals, item.revision))
-            }
-            Err(StoreError::NotFound) => Some((OwnershipTotals::default(), 0)),
-            Err(_) => None,
-        }
-    }
-
-    /// Reads back a claim whose write got no response; returns its revision if it was stored.
-    async fn read_back_claim(&self, record: &OwnerRecord) -> Option<u64> {
-        let item = (self.ports.store.read)(OWNER_KEY.to_owned()).await.ok()?;
-        let found: OwnerRecord = serde_json::from_slice(&item.value).ok()?;
-        (found == *record).then_some(item.revision)
-    }
-
     /// Recovers the fleet's state, and keeps the ownership until it ends.
-    async fn maintain_ownership(&self, claimed: ClaimedOwnership) {
+    pub(super) async fn maintain_ownership(&self, claimed: ClaimedOwnership) {
         let (epoch, lease) = (claimed.epoch, claimed.lease);
         let valid_until = claimed.requested_at + lease.ttl_ms.saturating_sub(LEASE_MARGIN_MS);
         let renewal = tokio::spawn(self.clone().renew(epoch, lease));
@@ -511,27 +388,6 @@
     }
 }
 
-/// Returns the write of a claim that replaces the owner's record and the totals of these revisions.
-fn claim_request(
-    record: &OwnerRecord,
-    totals: &OwnershipTotals,
-    (record_revision, totals_revision): (u64, u64),
-    lease: LeaseGrant,
-) -> Option<WriteRequest> {
-    let record = serde_json::to_vec(record).ok()?;
-    let totals = serde_json::to_vec(totals).ok()?;
-    Some(WriteRequest {
-        expected: vec![
-            (OWNER_KEY.to_owned(), record_revision),
-            (OWNERSHIP_TOTALS_KEY.to_owned(), totals_revision),
-        ],
-        set: vec![(OWNERSHIP_TOTALS_KEY.to_owned(), Bytes::from(totals))],
-        set_leased: vec![(OWNER_KEY.to_owned(), Bytes::from(record))],
-        lease_id: lease.lease_id,
-        delete: Vec::new(),
-    })
-}
-
 /// Returns whether a host has much less CPU capacity than another: under two thirds.
 #[must_use]
 pub fn is_much_smaller(processor_milli: u32, other_milli: u32) -> bool {
