List a step once in a pass, and look at held runs near their release only

A long-running step with a waiting task and another one whose run is about to be released was placed twice in a full pass, and could reserve capacity twice. Passes also walked the runs of all silent upstreams while any run was held; now only of those whose leases end within 4 s. Found by review, by reading; no play or test showed it.

--- a/crates/fleet/src/owner/held_runs.rs
+++ b/crates/fleet/src/owner/held_runs.rs
@@ -12,6 +12,10 @@
 use crate::owner::upstream_entry::UpstreamEntry;
 use crate::owner::{OwnerEffect, OwnerMachine};
 
+/// Time before the release of held runs from which their steps may query, in milliseconds; most steps
+/// query later.
+const EARLIEST_QUERY_MS: u64 = 4000;
+
 /// Where the bound on an upstream's leases comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaseTerm {
@@ -170,11 +174,10 @@
             return Vec::new();
         }
         let mut submissions = BTreeSet::new();
-        for entry in self
-            .upstreams
-            .values()
-            .filter(|entry| entry.held_since.is_some())
-        {
+        let until = now + EARLIEST_QUERY_MS;
+        let is_released_soon =
+            |entry: &&UpstreamEntry| entry.held_since.is_some() && entry.leases_expire_at <= until;
+        for entry in self.upstreams.values().filter(is_released_soon) {
             let long_running = entry.runs.iter().filter(|(_, run)| run.long_running);
             submissions.extend(long_running.map(|(name, _)| name.submission.clone()));
         }
--- a/crates/fleet/src/owner/ready_list.rs
+++ b/crates/fleet/src/owner/ready_list.rs
@@ -120,6 +120,15 @@
         self.fresh.remove(submission);
     }
 
+    /// Returns whether a step has tasks that may start.
+    fn contains(&self, step: &ReadyStep) -> bool {
+        let known = self.steps.get(&step.submission).into_iter().flatten();
+        let key = (step.occurrence, step.step);
+        known
+            .into_iter()
+            .any(|known| (known.occurrence, known.step) == key)
+    }
+
     /// Returns the steps with tasks that may start, as of the last pass.
     pub fn known_steps(&self) -> impl Iterator<Item = &ReadyStep> {
         self.steps.values().flatten().map(Arc::as_ref)
@@ -156,10 +165,12 @@
                 self.ready.steps.insert(id, steps);
             }
         }
-        let released_soon = match scope {
+        let mut released_soon = match scope {
             PlacementScope::All => self.steps_released_soon(now, unix_ms),
             PlacementScope::Urgent | PlacementScope::Fresh => Vec::new(),
         };
+        // Steps that also have waiting tasks query for these.
+        released_soon.retain(|step| !self.ready.contains(step));
         let fresh = std::mem::take(&mut self.ready.fresh);
         let is_urgent = |step: &&Arc<ReadyStep>| {
             step.priority == 0 && step.deadline_status(now) == DeadlineStatus::OnTime
