Close four gaps in the argument for extended leases

A successor could have waited 8.5 s for leases that last 12 s, and started a task twice: - if a gap in its contact with the store lasted when it decided to claim, or ended while the claim was under way. The gap counts as ending now, and is read again after the claim. - if a host that had claimed started again, and told the previous owner that it had no contact. A host does not answer in the first 15 s after its start. - if a process that is not the owner answered its heartbeat at the owner's address. The reply must have the owner's epoch. And an observation of an outage that came too early, because the last commit went through a peer, was not repeated. The owner asks again each second.

The times that depend on the longest lease are now derived from it.

--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -45,7 +45,7 @@
 };
 pub use held_runs::{HeldRuns, HeldRunsRelease, LeaseTerm, RecoveryBound, ReleaseCause};
 pub use owner_machine::OwnerMachine;
-pub use owner_settings::OwnerSettings;
+pub use owner_settings::{EXTENDED_LEASE_BOUND_MS, OwnerSettings};
 pub use query_dispatcher::{PolicyDecision, QueryOutcome};
 pub use recovery::{DepartedUpstream, LeaseBound, RecoveredState, RosterEntry, StoredSubmission};
 pub use stop_reason::StopReason;
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -1,5 +1,8 @@
 //! Timeouts, intervals and margins of the owner.
 
+/// Default of [`OwnerSettings::extended_lease_bound_ms`], in milliseconds.
+pub const EXTENDED_LEASE_BOUND_MS: u64 = 12_000;
+
 /// Timeouts, intervals and margins of the owner, from the host's settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OwnerSettings {
@@ -55,7 +58,7 @@
         Self {
             task_lease_ms: 6000,
             lease_bound_ms: 8500,
-            extended_lease_bound_ms: 12_000,
+            extended_lease_bound_ms: EXTENDED_LEASE_BOUND_MS,
             renewal_wait_ms: 1000,
             urgent_renewal_wait_ms: 500,
             idle_renewal_interval_ms: 1500,
--- a/crates/host/src/control/host_view.rs
+++ b/crates/host/src/control/host_view.rs
@@ -92,8 +92,9 @@
     reported_revision: u64,
     /// When each host last sent a heartbeat to this one, by address.
     heartbeats: HashMap<Arc<str>, u64>,
-    /// When this host last requested a claim of the ownership.
-    claim_requested_at: Option<u64>,
+    /// When this host last requested a claim of the ownership, or started: an earlier process of it may
+    /// have claimed.
+    possible_claim_at: Option<u64>,
     /// Until when heartbeats are answered as if the store were out of reach, except to the hosts in
     /// `outage_observers`.
     outage_reported_until: u64,
@@ -366,9 +367,9 @@
         heartbeats.keys().cloned().collect()
     }
 
-    /// Records that this host requested a claim of the ownership.
-    pub fn record_claim(&self, now: u64) {
-        self.lock().claim_requested_at = Some(now);
+    /// Records that this host, or an earlier process of it, may have claimed the ownership.
+    pub fn record_possible_claim(&self, now: u64) {
+        self.lock().possible_claim_at = Some(now);
     }
 
     /// Lets replies to heartbeats say until a time that this host does not reach the store, except to
@@ -380,12 +381,12 @@
     }
 
     /// Returns the time since the store last responded to this host, for the owner of an epoch;
-    /// `None` if the host knows of a later owner, or has requested a claim within a period.
+    /// `None` if the host knows of a later owner, or may have claimed within a period.
     #[must_use]
     pub fn contact_age_for(&self, epoch: u64, claim_period_ms: u64) -> Option<u64> {
         let now = now_ms();
         let state = self.lock();
-        let claimed_at = state.claim_requested_at;
+        let claimed_at = state.possible_claim_at;
         let may_have_claimed = claimed_at.is_some_and(|at| now < at + claim_period_ms);
         let known_epoch = state.owner.as_ref().map_or(0, |owner| owner.epoch);
         (known_epoch <= epoch && !may_have_claimed)
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::clock::now_ms;
 use crate::control::{ControlActor, ControlHandle, HostView};
 use crate::daemon::config_reader::ConfigReader;
 use crate::daemon::store_relay::hedge_context;
@@ -76,6 +77,7 @@
         let readiness = bind(&settings.readiness_address).await?;
         let peers = bind(&settings.peer_address()).await?;
         let view = HostView::default();
+        view.record_possible_claim(now_ms());
         let ports = PlatformPorts {
             store: logged_store(&ports.store, view.revision_log()),
             ..ports
--- a/crates/host/src/ownership/claimed_ownership.rs
+++ b/crates/host/src/ownership/claimed_ownership.rs
@@ -1,5 +1,6 @@
 //! A stored claim, and what it says of the leases of earlier owners.
 
+use crate::clock::now_ms;
 use crate::ownership::ReplacedOwner;
 use crate::ports::LeaseGrant;
 use crate::store::{OwnerRecord, OwnershipTotals, RevisionLog};
@@ -43,7 +44,8 @@
     pub fn earlier_leases(&self, log: &RevisionLog, last_commit_revision: u64) -> EarlierLeases {
         let written_by = |revision| log.written_by(revision).unwrap_or(self.claimed_by);
         let committed_by = written_by(last_commit_revision.max(self.replaced_revision));
-        let may_be_extended = self.replaced_owner.may_be_extended(committed_by);
+        let replaced_owner = self.replaced_owner.with_later_gap(now_ms(), log.contacts());
+        let may_be_extended = replaced_owner.may_be_extended(committed_by);
         let totals_written_by = written_by(self.replaced_revision);
         let totals = &self.replaced_totals;
         EarlierLeases {
--- a/crates/host/src/ownership/lease_extension.rs
+++ b/crates/host/src/ownership/lease_extension.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use futures::{StreamExt, stream};
+use lagoonnotch_fleet::owner::EXTENDED_LEASE_BOUND_MS;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -23,20 +24,24 @@
 /// Time between two checks whether the store responds.
 const OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time for which a host that has sent a heartbeat is asked, in milliseconds; longer than a host
-/// counts as asked after a heartbeat, by more than leases last.
-const FOLLOWER_RETENTION_MS: u64 = 30_000;
+/// Time between two questions to the other hosts, in milliseconds. Hosts of earlier versions close the
+/// connection on which they are asked.
+const QUESTION_INTERVAL_MS: u64 = 1000;
 
 /// Maximum age of the last heartbeat to an owner that would have asked this host, in milliseconds.
 const MAX_HEARTBEAT_AGE_MS: u64 = 10_000;
 
+/// Time for which a host that has sent a heartbeat is asked, in milliseconds: until no lease lasts
+/// that the owner may have extended while the host counts as asked, and a margin.
+const FOLLOWER_RETENTION_MS: u64 = MAX_HEARTBEAT_AGE_MS + EXTENDED_LEASE_BOUND_MS + 8000;
+
 /// Time for which replies to heartbeats of other hosts than those asked say that this host does not
-/// reach the store, in milliseconds; extended leases do not last longer.
-const NEW_FOLLOWER_DELAY_MS: u64 = 12_000;
+/// reach the store, in milliseconds: until no extended lease lasts.
+const NEW_FOLLOWER_DELAY_MS: u64 = EXTENDED_LEASE_BOUND_MS;
 
-/// Time for which a host that has requested a claim does not answer the question, in milliseconds;
-/// longer than extended leases last. The claim may be stored although the host does not know it.
-pub(crate) const CLAIM_MEMORY_MS: u64 = 15_000;
+/// Time for which a host that may have claimed does not answer the question, in milliseconds: until no
+/// extended lease lasts, and a margin.
+pub(crate) const CLAIM_MEMORY_MS: u64 = EXTENDED_LEASE_BOUND_MS + 3000;
 
 /// Number of hosts that are asked at a time.
 const PARALLEL_QUESTIONS: usize = 16;
@@ -57,10 +62,25 @@
     pub fn new(now: u64, heartbeat_at: Option<u64>, contacts: &ContactLog) -> Self {
         Self {
             had_to_ask: heartbeat_at.is_some_and(|sent_at| now < sent_at + MAX_HEARTBEAT_AGE_MS),
-            gap_ended_at: contacts.gap_ended_at(),
+            gap_ended_at: contacts.gap_ended_at(now),
         }
     }
 
+    /// Returns the same with a gap that has ended since, while this host claimed.
+    #[must_use]
+    pub fn with_later_gap(self, now: u64, contacts: &ContactLog) -> Self {
+        Self {
+            gap_ended_at: self.gap_ended_at.max(contacts.gap_ended_at(now)),
+            ..self
+        }
+    }
+
+    /// Returns whether leases may still last that the owner has extended, whenever its last commit was.
+    #[must_use]
+    pub fn extension_may_last(&self, now: u64, extended_bound_ms: u64) -> bool {
+        !self.had_to_ask || self.gap_ended_at + extended_bound_ms >= now
+    }
+
     /// Returns whether the leases of the owner may have the longer bound, if its last commit had been
     /// stored by a time.
     ///
@@ -86,7 +106,7 @@
     /// the task is dropped.
     pub(super) async fn observe_outages(self, epoch: u64) {
         let delay_ms = self.lease_bounds.extended_ms - self.lease_bounds.usual_ms;
-        let mut is_extended = false;
+        let (mut is_extended, mut next_question_at) = (false, 0);
         loop {
             sleep(OUTAGE_CHECK_INTERVAL).await;
             let asked_at = now_ms();
@@ -95,13 +115,20 @@
                 is_extended = false;
                 continue;
             }
-            if !is_extended && self.is_store_unreachable_for_all(epoch).await {
+            if asked_at < next_question_at {
+                continue;
+            }
+            next_question_at = asked_at + QUESTION_INTERVAL_MS;
+            if !self.is_store_unreachable_for_all(epoch).await {
+                continue;
+            }
+            if !is_extended {
                 is_extended = true;
                 FleetEvent::LeasesExtended.emit(json!({"epoch": epoch, "outage_ms": age_ms}));
-                self.control
-                    .send(ControlInput::OutageObserved { epoch, asked_at })
-                    .await;
             }
+            self.control
+                .send(ControlInput::OutageObserved { epoch, asked_at })
+                .await;
         }
     }
 
--- a/crates/host/src/ownership/owner_watch.rs
+++ b/crates/host/src/ownership/owner_watch.rs
@@ -63,7 +63,8 @@
     /// Time since the owner sent the last request that the store answered, in milliseconds,
     /// according to the owner's last reply.
     pub store_response_age_ms: u64,
-    /// When the last answered heartbeat was sent whose reply showed that the owner reached the store.
+    /// When the last heartbeat was sent whose reply showed that the process is the owner of this epoch
+    /// and reached the store.
     pub heartbeat_in_contact_at: Option<u64>,
 }
 
@@ -173,7 +174,8 @@
                 health.failures = 0;
                 health.silent_since = None;
                 health.store_response_age_ms = reply.store_response_age_ms;
-                if reply.store_response_age_ms <= MAX_CONTACT_AGE_MS {
+                let is_owner = reply.epoch == Some(owner.epoch);
+                if is_owner && reply.store_response_age_ms <= MAX_CONTACT_AGE_MS {
                     health.heartbeat_in_contact_at = Some(sent_at);
                 }
                 if let Some(peers) = reply.peers {
--- a/crates/host/src/ownership/ownership_claim.rs
+++ b/crates/host/src/ownership/ownership_claim.rs
@@ -22,7 +22,7 @@
         FleetEvent::OwnershipClaimed
             .emit(json!({"reason": reason, "replaces": observation.revision}));
         let requested_at = now_ms();
-        self.view.record_claim(requested_at);
+        self.view.record_possible_claim(requested_at);
         let Ok(lease) = (self.ports.store.grant)(OWNER_LEASE_MS).await else {
             return;
         };
@@ -104,9 +104,9 @@
     ) -> OwnershipTotals {
         let now = now_ms();
         let age_ms = now.saturating_sub(written_by);
-        let oldest_extension = now.saturating_sub(self.lease_bounds.extended_ms);
-        let may_be_extended = replaced_owner.may_be_extended(oldest_extension);
-        let earlier_lease_ms = totals.lease_ms_at_claim(age_ms, may_be_extended);
+        let extension_may_last =
+            replaced_owner.extension_may_last(now, self.lease_bounds.extended_ms);
+        let earlier_lease_ms = totals.lease_ms_at_claim(age_ms, extension_may_last);
         totals
             .after_claim(replaces_other, age_ms, unix_ms(), self.processor_milli)
             .with_lease_bounds(self.lease_bounds, earlier_lease_ms)
--- a/crates/host/src/store/contact_log.rs
+++ b/crates/host/src/store/contact_log.rs
@@ -10,11 +10,14 @@
 struct ContactTimes {
     /// When the store last responded; 0 before the first response.
     last_at: u64,
-    /// When the last gap of `CONTACT_GAP_MS` or more ended. The time before the first response is one.
+    /// When the last gap of `CONTACT_GAP_MS` or more ended. The time from boot to the first response may
+    /// be one.
     gap_ended_at: u64,
 }
 
-/// This host's contact with the store, in milliseconds of its boot-time clock.
+/// This host's contact with the store, in milliseconds of its boot-time clock: responses to reads, lists,
+/// watches and writes, when they arrived. Stale reads and renewals of leases do not count, since they
+/// do not show that this host could claim the ownership.
 #[derive(Clone, Debug, Default)]
 pub struct ContactLog {
     times: Arc<Mutex<ContactTimes>>,
@@ -36,10 +39,16 @@
         now.saturating_sub(self.times().last_at)
     }
 
-    /// Returns when the last gap ended in this host's contact; 0 before the first response.
+    /// Returns when the last gap in this host's contact ended, which is now for one that lasts; 0 if
+    /// there was none.
     #[must_use]
-    pub fn gap_ended_at(&self) -> u64 {
-        self.times().gap_ended_at
+    pub fn gap_ended_at(&self, now: u64) -> u64 {
+        let times = self.times();
+        if now >= times.last_at + CONTACT_GAP_MS {
+            now
+        } else {
+            times.gap_ended_at
+        }
     }
 
     fn times(&self) -> ContactTimes {
--- a/crates/host/tests/host/lease_extension.rs
+++ b/crates/host/tests/host/lease_extension.rs
@@ -39,6 +39,30 @@
     assert!(replaced.may_be_extended(15_000));
 }
 
+/// Guards against the same while the gap lasts, or ends while this host claims.
+#[test]
+fn gap_that_lasts_means_the_longer_bound() {
+    let contacts = contacts_with_gap();
+    let during = ReplacedOwner::new(22_500, Some(22_000), &contacts);
+    let before = ReplacedOwner::new(20_500, Some(19_000), &contacts);
+
+    contacts.record(23_000);
+    let after = before.with_later_gap(23_100, &contacts);
+
+    assert!(during.may_be_extended(20_000));
+    assert!(!before.may_be_extended(20_000));
+    assert!(after.may_be_extended(20_000));
+}
+
+/// Guards against totals that say too early when all leases have expired.
+#[test]
+fn extension_may_last_as_long_after_a_gap_as_extended_leases() {
+    let replaced = ReplacedOwner::new(20_500, Some(19_000), &contacts_with_gap());
+
+    assert!(replaced.extension_may_last(27_000, 12_000));
+    assert!(!replaced.extension_may_last(27_001, 12_000));
+}
+
 /// Guards against waiting longer for an owner that is lost some seconds after an outage.
 #[test]
 fn commit_after_the_end_of_a_gap_means_the_usual_bound() {
@@ -77,7 +101,7 @@
     let replaced = view_with_owner(EPOCH + 1);
 
     let before = view.contact_age_for(EPOCH, 15_000);
-    view.record_claim(now_ms());
+    view.record_possible_claim(now_ms());
     let after = view.contact_age_for(EPOCH, 15_000);
 
     assert!(before.is_some());
