--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -1,5 +1,6 @@
 //! What was sent, answered and run, and the rules that are judged by it.
 
+use std::collections::HashSet;
 use std::fs::File;
 use std::io::Write;
 use std::path::Path;
@@ -26,6 +27,8 @@
 struct State {
     file: File,
     runs: Vec<RunRecord>,
+    /// Tasks that were started at least once.
+    started: HashSet<String>,
 }
 
 /// Record of a trial.
@@ -42,6 +45,7 @@
         let state = State {
             file,
             runs: Vec::new(),
+            started: HashSet::new(),
         };
         Record {
             began_at: Instant::now(),
@@ -81,6 +85,11 @@
         state.runs.len() - 1
     }
 
+    /// Returns whether a task is started for the first time, and remembers that.
+    pub fn is_first_run(&self, task: &str) -> bool {
+        self.state.lock().unwrap().started.insert(task.to_owned())
+    }
+
     /// Records the end of a run.
     pub fn end_run(&self, index: usize, how: &'static str) {
         let now_ms = self.now_ms();
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a worker, as PROTOCOL.md describes it under "Running tasks".
 //!
 //! The text of a task says how long it takes: `dur=MS`, 0 for a task that lasts. With `fails` it ends
-//! `failed` then; with `fails-once`, its first run does, and later ones last.
+//! `failed` then; with `fails-once`, its first start does, and later ones last.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -476,7 +476,7 @@
         let index = self.record.begin_run(task, run, &self.kind.id, state.boot);
         let spec = body.text("spec").unwrap_or("");
         let fails_once = spec.ends_with(" fails-once");
-        let lasts = fails_once && run > 1;
+        let lasts = fails_once && !self.record.is_first_run(task);
         state.running.insert(
             task.to_owned(),
             Run {
