Review: trials end within 110 s, and end what they started

run.sh gives 2 for whatever is neither held nor broken. After a normal end no process is signalled by an id that may belong to another one by then.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -17,6 +17,7 @@
 trap stop INT TERM HUP
 wait $trial
 outcome=$?
+[ "$outcome" -le 1 ] || outcome=2
 for pid in $(cat "$PIDS"); do kill -9 "$pid" 2>/dev/null; done
 rm -f "$PIDS"
 exit $outcome
--- a/review/standin-2/src/cell.rs
+++ b/review/standin-2/src/cell.rs
@@ -225,6 +225,9 @@
             let _ = host.process.kill();
             let _ = host.process.wait();
         }
+        if let Ok(path) = std::env::var("PIDS") {
+            let _ = fs::write(&path, "");
+        }
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -14,6 +14,10 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// Longest time of a trial. `run.sh` ends the daemons that are left then.
+const TRIAL_LIMIT: Duration = Duration::from_secs(110);
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -24,6 +28,11 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let program = std::env::var("LAGOONNOTCH_HOST");
     let program = program.unwrap_or_else(|_| "target/release/lagoonnotch-host".to_owned());
+    std::thread::spawn(|| {
+        std::thread::sleep(TRIAL_LIMIT);
+        println!("could not run: not over within {} s", TRIAL_LIMIT.as_secs());
+        std::process::exit(2);
+    });
     let outcome = trials::run(trial, Path::new(folder), &program, trouble);
     match outcome {
         Ok(broken) if broken.is_empty() => {
