--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,7 +7,7 @@
 [ -x "$standin" ] && [ -x target/release/lagoonnotch-host ] || { echo "not built"; exit 2; }
 PIDS=$(mktemp) || exit 2
 export PIDS
-"$standin" wide-submission review/8 &
+"$standin" long-lease review/8 &
 trial=$!
 stop() {
     for pid in $trial $(cat "$PIDS"); do kill -9 "$pid" 2>/dev/null; done
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -228,8 +228,8 @@
     pub cpu: u64,
     /// What a task of the submission in question needs.
     pub need: u64,
-    /// What a task of any other submission needs.
-    pub other: u64,
+    /// What a task needs, by its name.
+    pub size_of: fn(&str) -> u64,
 }
 
 impl Room {
@@ -240,7 +240,7 @@
         }
         let used_on = |worker: &String| {
             let runs = present.iter().filter(|run| run.worker == *worker);
-            runs.count() as u64 * self.other
+            runs.map(|run| (self.size_of)(&run.task)).sum::<u64>()
         };
         let used: u64 = self.workers.iter().map(used_on).sum();
         let free_on = |worker: &String| self.cpu.saturating_sub(used_on(worker));
