Log when another incarnation answers and when finished runs were forgotten

Callers saw two runs of one task after an upstream had started again. The log could not tell a lease on the clock of the former incarnation from an end that was forgotten unseen.

Event 1069 says which orders the new incarnation may have got that were meant for the one before; event 1072 says that an upstream has forgotten finished runs that the owner has not seen. Both are counted. Nothing is decided differently.

--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -116,6 +116,40 @@
     pub has_left: bool,
 }
 
+/// The first answer of another incarnation under an upstream's identifier.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RestartReport {
+    /// Identifier of the upstream.
+    pub upstream: Arc<str>,
+    /// Start of the incarnation that answered before, in milliseconds since 1970; `None` if none
+    /// did.
+    pub earlier_incarnation_unix_ms: Option<u64>,
+    /// Start of this incarnation, in milliseconds since 1970.
+    pub incarnation_unix_ms: u64,
+    /// Reading of its clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Number of orders that granted leases on the earlier incarnation's clock and were sent after its last
+    /// answer; this incarnation may have executed them.
+    pub lease_orders: u32,
+    /// Highest acknowledged number of a finished run in these and other renewals since then.
+    pub ack_number: u64,
+    /// Time until every lease has expired by the owner's bound, in milliseconds.
+    pub leases_expire_in_ms: u64,
+    /// Number of runs that are allocated on the upstream.
+    pub run_count: usize,
+}
+
+/// Finished runs that an upstream has forgotten although this owner has not seen them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MissingFinishedRuns {
+    /// Identifier of the upstream.
+    pub upstream: Arc<str>,
+    /// Number of the last finished run that the owner has seen.
+    pub last_seen_number: u64,
+    /// Number of the first finished run in the list.
+    pub first_listed_number: u64,
+}
+
 /// An action that the owner's host executes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEffect {
@@ -135,6 +169,10 @@
     ReportUnlisted(UnlistedReport),
     /// Report how long runs of silent upstreams are held after the takeover.
     ReportRecovery(RecoveryBound),
+    /// Report that another incarnation of an upstream answers.
+    ReportRestart(RestartReport),
+    /// Report that an upstream has forgotten finished runs.
+    ReportMissingFinished(MissingFinishedRuns),
     /// Report that the runs of a silent upstream stay allocated.
     ReportHeldRuns(HeldRuns),
     /// Report that runs are no longer held.
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -8,8 +8,11 @@
 
 use crate::model::{FinishedRun, RenewReply, RunOutcome, RunReport, SubmissionState, TaskName};
 use crate::owner::submission_entry::{OccurrenceEntry, SubmissionEntry, TaskPhase};
-use crate::owner::upstream_entry::{ClockReading, RunPhase};
-use crate::owner::{LeaseTerm, OwnerMachine, ReleaseCause, StopReason};
+use crate::owner::upstream_entry::{ClockReading, RunPhase, SentAssumptions};
+use crate::owner::{
+    LeaseTerm, MissingFinishedRuns, OwnerEffect, OwnerMachine, ReleaseCause, RestartReport,
+    StopReason,
+};
 
 /// Number of submissions with failed runs after which an upstream is quarantined; a completed run
 /// resets the count.
@@ -57,12 +60,18 @@
         self.effects.extend(entry.end_held_runs(now, cause));
         let fell_at = entry.silent_since.take().unwrap_or(now);
         let victims = entry.take_crash_victims(reply);
+        let has_list = entry.run_list_incarnation.is_some();
         if restarted {
+            self.report_restart(now, upstream, reply);
             self.reset_incarnation(upstream);
         }
+        if has_list {
+            self.report_missing_finished(upstream, reply);
+        }
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
+        entry.assumptions = SentAssumptions::default();
         entry.clock = Some(ClockReading {
             clock_ms: reply.clock_ms,
             received_at: now,
@@ -161,6 +170,41 @@
         }
     }
 
+    fn report_restart(&mut self, now: u64, upstream: &Arc<str>, reply: &RenewReply) {
+        let Some(entry) = self.upstreams.get(upstream) else {
+            return;
+        };
+        let earlier = entry.run_list_incarnation.or(entry.runs_incarnation);
+        self.effects.push(OwnerEffect::ReportRestart(RestartReport {
+            upstream: upstream.clone(),
+            earlier_incarnation_unix_ms: earlier,
+            incarnation_unix_ms: reply.incarnation_unix_ms,
+            clock_ms: reply.clock_ms,
+            lease_orders: entry.assumptions.lease_orders,
+            ack_number: entry.assumptions.ack_number,
+            leases_expire_in_ms: entry.leases_expire_at.saturating_sub(now),
+            run_count: entry.runs.len(),
+        }));
+    }
+
+    /// Reports finished runs that the upstream has forgotten before this owner saw them.
+    fn report_missing_finished(&mut self, upstream: &Arc<str>, reply: &RenewReply) {
+        let Some(entry) = self.upstreams.get(upstream) else {
+            return;
+        };
+        let Some(first) = reply.finished.first() else {
+            return;
+        };
+        if first.number > entry.last_finished_number + 1 {
+            self.effects
+                .push(OwnerEffect::ReportMissingFinished(MissingFinishedRuns {
+                    upstream: upstream.clone(),
+                    last_seen_number: entry.last_finished_number,
+                    first_listed_number: first.number,
+                }));
+        }
+    }
+
     /// Discards what is known of a previous incarnation's finished runs. Its other runs are
     /// released only when the next list does not contain them, because an order may already have
     /// reached the new incarnation.
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -41,7 +41,8 @@
 pub use advice_load::{AdviceLoad, QueryHostCounts, TicketWaits};
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
 pub use effect::{
-    CrashReport, OwnerEffect, QueryOrder, RenewOrder, StartOrder, StopOrder, UnlistedReport,
+    CrashReport, MissingFinishedRuns, OwnerEffect, QueryOrder, RenewOrder, RestartReport,
+    StartOrder, StopOrder, UnlistedReport,
 };
 pub use held_runs::{HeldRuns, HeldRunsRelease, LeaseTerm, RecoveryBound, ReleaseCause};
 pub use owner_machine::OwnerMachine;
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -197,6 +197,8 @@
                 None
             };
             entry.renewal_in_flight = true;
+            let assumptions = &mut entry.assumptions;
+            assumptions.ack_number = assumptions.ack_number.max(entry.ack_number);
             self.effects.push(OwnerEffect::Renew(RenewOrder {
                 upstream: id.clone(),
                 address: entry.report.address.clone(),
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -144,6 +144,16 @@
     pub received_at: u64,
 }
 
+/// Orders that rest on a reading of an upstream's clock or on its numbers of finished runs. Another
+/// incarnation that gets them applies them to its own.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct SentAssumptions {
+    /// Number of orders that grant leases.
+    pub lease_orders: u32,
+    /// Highest acknowledged number of a finished run.
+    pub ack_number: u64,
+}
+
 /// An upstream and its runs.
 #[derive(Clone, Debug)]
 pub(super) struct UpstreamEntry {
@@ -159,6 +169,8 @@
     /// Incarnation that last sent its list of runs to this owner; `None` before the first list.
     pub run_list_incarnation: Option<u64>,
     pub clock: Option<ClockReading>,
+    /// Orders sent since the last answer that rest on what the upstream said then.
+    pub assumptions: SentAssumptions,
     /// Time by which every lease has expired if the upstream stays silent.
     pub leases_expire_at: u64,
     /// Where `leases_expire_at` comes from.
@@ -222,6 +234,7 @@
             in_stored_roster: false,
             run_list_incarnation: None,
             clock: None,
+            assumptions: SentAssumptions::default(),
             leases_expire_at: 0,
             lease_term: LeaseTerm::OwnLeases,
             held_since: None,
@@ -275,6 +288,7 @@
             self.leases_expire_at = expiry;
             self.lease_term = LeaseTerm::OwnLeases;
         }
+        self.assumptions.lease_orders += 1;
         Some(clock.clock_ms + granted_ms)
     }
 
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -9,8 +9,9 @@
 };
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, HeldRuns, HeldRunsRelease,
-    OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision, QueryOutcome, RecoveredState,
-    RecoveryBound, RenewOrder, RosterEntry, StartOrder, StopOrder, StoredSubmission,
+    MissingFinishedRuns, OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision, QueryOutcome,
+    RecoveredState, RecoveryBound, RenewOrder, RestartReport, RosterEntry, StartOrder, StopOrder,
+    StoredSubmission,
 };
 
 use crate::fixtures::{directory_read, report};
@@ -167,6 +168,10 @@
     pub held: Vec<HeldRuns>,
     /// Reported ends of such waits.
     pub releases: Vec<HeldRunsRelease>,
+    /// Reported answers of new incarnations.
+    pub restarts: Vec<RestartReport>,
+    /// Reported finished runs that upstreams have forgotten.
+    pub missing_finished: Vec<MissingFinishedRuns>,
 }
 
 impl FleetSimulation {
@@ -229,6 +234,8 @@
             recovery_bounds: Vec::new(),
             held: Vec::new(),
             releases: Vec::new(),
+            restarts: Vec::new(),
+            missing_finished: Vec::new(),
         }
     }
 
@@ -468,6 +475,8 @@
             OwnerEffect::ReportRecovery(bound) => self.recovery_bounds.push(bound),
             OwnerEffect::ReportHeldRuns(held) => self.held.push(held),
             OwnerEffect::ReportRelease(release) => self.releases.push(release),
+            OwnerEffect::ReportRestart(report) => self.restarts.push(report),
+            OwnerEffect::ReportMissingFinished(missing) => self.missing_finished.push(missing),
             OwnerEffect::ReportUnlisted(_) | OwnerEffect::StepDown => {}
         }
     }
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -5,9 +5,9 @@
 
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
-    AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease, OwnerEffect,
-    PolicyDecision, QueryOrder, QueryOutcome, RecoveryBound, RenewOrder, StartOrder, StopOrder,
-    UnlistedReport,
+    AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease,
+    MissingFinishedRuns, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome, RecoveryBound,
+    RenewOrder, RestartReport, StartOrder, StopOrder, UnlistedReport,
 };
 use serde_json::json;
 
@@ -84,6 +84,10 @@
             OwnerEffect::ReportCrash(report) => self.report_crash(&report),
             OwnerEffect::ReportUnlisted(report) => report_unlisted(&report),
             OwnerEffect::ReportRecovery(bound) => report_recovery(epoch, &bound),
+            OwnerEffect::ReportRestart(report) => self.report_restart(epoch, &report),
+            OwnerEffect::ReportMissingFinished(missing) => {
+                self.report_missing_finished(epoch, &missing);
+            }
             OwnerEffect::ReportHeldRuns(held) => report_held_runs(epoch, &held),
             OwnerEffect::ReportRelease(release) => report_release(epoch, &release),
             OwnerEffect::StepDown => {}
@@ -156,6 +160,33 @@
         }
     }
 
+    fn report_restart(&self, epoch: u64, report: &RestartReport) {
+        self.metrics.count_restart(report.lease_orders > 0);
+        FleetEvent::UpstreamRestarted.emit(json!({
+            "epoch": epoch,
+            "upstream": report.upstream,
+            "earlier_incarnation": report.earlier_incarnation_unix_ms,
+            "incarnation": report.incarnation_unix_ms,
+            "clock_ms": report.clock_ms,
+            "lease_orders": report.lease_orders,
+            "ack_number": report.ack_number,
+            "leases_expire_in_ms": report.leases_expire_in_ms,
+            "runs": report.run_count,
+        }));
+    }
+
+    fn report_missing_finished(&self, epoch: u64, missing: &MissingFinishedRuns) {
+        let first_missing = missing.last_seen_number + 1;
+        let count = missing.first_listed_number - first_missing;
+        self.metrics.count_missing_finished(count);
+        FleetEvent::FinishedRunsMissing.emit(json!({
+            "epoch": epoch,
+            "upstream": missing.upstream,
+            "first_missing": first_missing,
+            "first_listed": missing.first_listed_number,
+        }));
+    }
+
     async fn renew_leases(&self, order: RenewOrder, valid_until: u64) {
         let sent_at = now_ms();
         let outcome = if sent_at < valid_until {
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -146,10 +146,15 @@
     DrainingUpstreamUnlisted = 1067, Info;
     /// A delegate gave no receipt or no outcome in time; the owner sends its renewals itself.
     DelegateGivenUp = 1068, Warn;
+    /// Another incarnation of an upstream answers; says which orders it may have got that were meant
+    /// for the one before.
+    UpstreamRestarted = 1069, Warn;
     /// A commit of progress failed or its outcome is unknown.
     CommitFailed = 1070, Warn;
     /// A submission's final state was stored.
     SubmissionEnded = 1071, Info;
+    /// An upstream has forgotten finished runs that the owner has not seen.
+    FinishedRunsMissing = 1072, Error;
 }
 
 impl FleetEvent {
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -75,6 +75,8 @@
     stops: Family<ReasonLabel, Counter>,
     commits: Family<KindLabel, Counter>,
     crashes: Family<ScopeLabel, Counter>,
+    restarts: Family<KindLabel, Counter>,
+    missing_finished: Counter,
     forwarded_renewals: Family<KindLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
@@ -94,6 +96,8 @@
             stops: Family::default(),
             commits: Family::default(),
             crashes: Family::default(),
+            restarts: Family::default(),
+            missing_finished: Counter::default(),
             forwarded_renewals: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
@@ -128,6 +132,16 @@
             "Upstreams that crashed while tasks were running there",
             self.crashes.clone(),
         );
+        registry.register(
+            "restarts",
+            "Upstreams that answer in another incarnation",
+            self.restarts.clone(),
+        );
+        registry.register(
+            "missing_finished_runs",
+            "Finished runs that upstreams have forgotten before the owner saw them",
+            self.missing_finished.clone(),
+        );
         registry.register(
             "forwarded_renewals",
             "Lease renewals forwarded to other hosts",
@@ -205,6 +219,22 @@
         self.crashes.get_or_create(&ScopeLabel { scope }).inc();
     }
 
+    /// Counts an upstream that answers in another incarnation, which may have executed orders that
+    /// grant leases on the clock of the one before.
+    pub fn count_restart(&self, has_lease_orders: bool) {
+        let kind = if has_lease_orders {
+            "lease_orders"
+        } else {
+            "no_lease_orders"
+        };
+        self.restarts.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts finished runs that upstreams have forgotten before the owner saw them.
+    pub fn count_missing_finished(&self, runs: u64) {
+        self.missing_finished.inc_by(runs);
+    }
+
     /// Sets the numbers of active submissions and of runs that hold resources.
     pub fn set_load(&self, submissions: usize, runs: usize) {
         self.active_submissions.set(submissions as u64);
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -373,8 +373,10 @@
                 OwnerEffect::Query(order) => self.query_policy(epoch, &order),
                 OwnerEffect::ReportCrash(_)
                 | OwnerEffect::ReportHeldRuns(_)
+                | OwnerEffect::ReportMissingFinished(_)
                 | OwnerEffect::ReportRecovery(_)
                 | OwnerEffect::ReportRelease(_)
+                | OwnerEffect::ReportRestart(_)
                 | OwnerEffect::ReportUnlisted(_)
                 | OwnerEffect::StepDown => {}
             }
