Carry the fencing token of an order beside the owner's epoch

An order's fencing token was always the epoch, and a commit's outcome did not say at which revision it was stored. Both are needed to fence off orders that were meant for an upstream's former incarnation. Nothing is decided differently: every token is still the epoch.

The longest lease that upstreams grant reaches the owner from the host's settings.

--- a/crates/fleet/src/owner/commit_queue.rs
+++ b/crates/fleet/src/owner/commit_queue.rs
@@ -70,7 +70,10 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CommitOutcome {
     /// The batch is stored.
-    Stored,
+    Stored {
+        /// Revision of the store at which it was written.
+        revision: u64,
+    },
     /// Another host is the owner.
     Fenced,
     /// Not stored, or the outcome is unknown: the changes must be written again.
--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -16,8 +16,11 @@
     pub address: Arc<str>,
     /// Failure domain of the upstream.
     pub failure_domain: Arc<str>,
-    /// Epoch of the owner.
+    /// Epoch of the owner; only the owner needs it.
+    #[serde(skip)]
     pub epoch: u64,
+    /// Fencing token: at least the epoch. Upstreams reject orders with a lower one than they have seen.
+    pub fence: u64,
     /// Highest number such that the changes of all finished runs up to it are stored.
     pub ack_number: u64,
     /// Expiry of the leases on the upstream's clock, in milliseconds; `None` lists runs without
@@ -40,6 +43,8 @@
     pub address: Arc<str>,
     /// Epoch of the owner.
     pub epoch: u64,
+    /// Fencing token, as of a renewal.
+    pub fence: u64,
     /// Expiry of the lease on the upstream's clock, in milliseconds.
     pub deadline_ms: u64,
     /// Payload of the submission.
@@ -65,6 +70,8 @@
     pub address: Arc<str>,
     /// Epoch of the owner.
     pub epoch: u64,
+    /// Fencing token, as of a renewal.
+    pub fence: u64,
 }
 
 /// A query to the policy service, sent by one host.
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -9,6 +9,8 @@
     /// Duration of task leases, in milliseconds of the upstream's clock; at most what upstreams
     /// grant.
     pub task_lease_ms: u64,
+    /// Longest lease that an upstream grants, in milliseconds of its clock; it shortens longer ones.
+    pub max_lease_ms: u64,
     /// Time by which every lease has expired since the owner last confirmed its ownership with a
     /// commit, in milliseconds of its own clock.
     pub lease_bound_ms: u64,
@@ -57,6 +59,7 @@
     fn default() -> Self {
         Self {
             task_lease_ms: 6000,
+            max_lease_ms: 10_000,
             lease_bound_ms: 8500,
             extended_lease_bound_ms: EXTENDED_LEASE_BOUND_MS,
             renewal_wait_ms: 1000,
--- a/crates/fleet/src/owner/planned_start.rs
+++ b/crates/fleet/src/owner/planned_start.rs
@@ -123,6 +123,7 @@
             upstream,
             address,
             epoch: self.epoch,
+            fence: self.epoch,
             deadline_ms,
             payload: record.payload.clone(),
             checkpoint,
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -204,6 +204,7 @@
                 address: entry.report.address.clone(),
                 failure_domain: entry.report.failure_domain.clone(),
                 epoch: self.epoch,
+                fence: self.epoch,
                 ack_number: entry.ack_number,
                 deadline_ms,
                 wait_ms: match (busy && known, entry.has_urgent_runs()) {
@@ -236,6 +237,7 @@
                         upstream: id.clone(),
                         address: entry.report.address.clone(),
                         epoch: self.epoch,
+                        fence: self.epoch,
                     }));
                     next_due_at = next_due_at.max(Some(run.stop_due_at));
                 }
@@ -259,6 +261,7 @@
             upstream: upstream.clone(),
             address: entry.report.address.clone(),
             epoch: self.epoch,
+            fence: self.epoch,
         }));
     }
 
@@ -390,7 +393,7 @@
 
     /// Handles the outcome of a commit.
     pub fn on_commit(&mut self, now: u64, batch: &CommitBatch, outcome: CommitOutcome) {
-        let stored = outcome == CommitOutcome::Stored;
+        let stored = matches!(outcome, CommitOutcome::Stored { .. });
         let sent_at = self.commits.lane_sent_at(batch.lane);
         let ids = self.commits.finish(batch.lane, stored);
         match outcome {
@@ -402,7 +405,7 @@
                 self.stale_cancels.extend(stale);
                 self.roster_changed |= batch.roster.is_some();
             }
-            CommitOutcome::Stored => {
+            CommitOutcome::Stored { .. } => {
                 self.ownership_confirmed_at = self.ownership_confirmed_at.max(sent_at);
                 self.placement.request_full();
                 for id in ids {
--- a/crates/fleet/tests/fleet/commits.rs
+++ b/crates/fleet/tests/fleet/commits.rs
@@ -8,7 +8,7 @@
     CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings,
 };
 
-use crate::fixtures::{config, directory_read, queue, report, step, submission};
+use crate::fixtures::{STORED, config, directory_read, queue, report, step, submission};
 
 /// Returns an owner whose stored roster contains one upstream with four cores.
 fn owner() -> OwnerMachine {
@@ -16,7 +16,7 @@
     let mut owner = OwnerMachine::new(OwnerSettings::default(), 50, 0, approved);
     owner.set_directory(1000, directory_read(1000, vec![report("u0")]));
     for batch in commits(&mut owner, 1000) {
-        owner.on_commit(1001, &batch, CommitOutcome::Stored);
+        owner.on_commit(1001, &batch, STORED);
     }
     let empty = RenewReply {
         clock_ms: 5000,
--- a/crates/fleet/tests/fleet/fixtures.rs
+++ b/crates/fleet/tests/fleet/fixtures.rs
@@ -7,6 +7,10 @@
     ApprovedConfig, DirectoryRead, PolicyTiming, PoolPolicy, QueuePolicy, RequestLimits,
     ResourceSize, StepSpec, SubmissionRecord, TeamPolicy, UpstreamReport,
 };
+use lagoonnotch_fleet::owner::CommitOutcome;
+
+/// Outcome of a stored commit, at a revision before any epoch.
+pub const STORED: CommitOutcome = CommitOutcome::Stored { revision: 0 };
 
 /// Pool used by all fixtures.
 pub const POOL: &str = "harvest";
--- a/crates/fleet/tests/fleet/inherited_runs.rs
+++ b/crates/fleet/tests/fleet/inherited_runs.rs
@@ -5,11 +5,11 @@
     SubmissionState,
 };
 use lagoonnotch_fleet::owner::{
-    CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState, RosterEntry,
-    StopReason, StoredSubmission,
+    OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState, RosterEntry, StopReason,
+    StoredSubmission,
 };
 
-use crate::fixtures::{POOL, config, directory_read, queue, report, step, submission};
+use crate::fixtures::{POOL, STORED, config, directory_read, queue, report, step, submission};
 
 /// Time of the takeover, in milliseconds.
 const TAKEN_OVER_AT: u64 = 100_000;
@@ -82,7 +82,7 @@
     let mut reasons = Vec::new();
     for effect in owner.take_effects() {
         match effect {
-            OwnerEffect::Commit(batch) => owner.on_commit(now, &batch, CommitOutcome::Stored),
+            OwnerEffect::Commit(batch) => owner.on_commit(now, &batch, STORED),
             OwnerEffect::Stop(order) => reasons.push(order.reason),
             _ => {}
         }
--- a/crates/fleet/tests/fleet/lease_expiry.rs
+++ b/crates/fleet/tests/fleet/lease_expiry.rs
@@ -4,11 +4,11 @@
     ProgressRecord, RenewReply, ResourceSize, RunRecord, RunReport, SubmissionState,
 };
 use lagoonnotch_fleet::owner::{
-    CommitBatch, CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState,
-    RosterEntry, StoredSubmission,
+    CommitBatch, OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState, RosterEntry,
+    StoredSubmission,
 };
 
-use crate::fixtures::{POOL, config, queue, step, submission};
+use crate::fixtures::{POOL, STORED, config, queue, step, submission};
 use crate::simulation::FleetSimulation;
 
 /// Returns a simulation whose owner has stored that `u0`, which runs tasks, is silent.
@@ -119,7 +119,7 @@
             .into_iter()
             .partition(|batch| batch.roster.iter().flatten().any(RosterEntry::is_silent));
         for batch in others {
-            owner.on_commit(now, &batch, CommitOutcome::Stored);
+            owner.on_commit(now, &batch, STORED);
         }
         if let Some(batch) = silent.into_iter().next() {
             break batch;
@@ -131,12 +131,12 @@
     let upstream = "u0".into();
     owner.on_renewed(now + 10, now + 9, &upstream, &reply_with_stored_run());
     granted.extend(tick(&mut owner, now + 40).1);
-    owner.on_commit(now + 50, &silent, CommitOutcome::Stored);
+    owner.on_commit(now + 50, &silent, STORED);
     owner.on_renewed(now + 60, now + 59, &upstream, &reply_with_stored_run());
     let (commits, granted_before) = tick(&mut owner, now + 500);
     granted.extend(granted_before);
     for batch in &commits {
-        owner.on_commit(now + 510, batch, CommitOutcome::Stored);
+        owner.on_commit(now + 510, batch, STORED);
     }
     owner.on_renewed(now + 520, now + 519, &upstream, &reply_with_stored_run());
     let (_, granted_later) = tick(&mut owner, now + 600);
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -7,12 +7,11 @@
     RunReport, StartOutcome, StepSpec, SubmissionState,
 };
 use lagoonnotch_fleet::owner::{
-    CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState, RosterEntry,
-    StoredSubmission,
+    OwnerEffect, OwnerMachine, OwnerSettings, RecoveredState, RosterEntry, StoredSubmission,
 };
 
 use crate::fixtures::{
-    POOL, TEAM, config, directory_read, queue, report, step, submission, ticketed_queue,
+    POOL, STORED, TEAM, config, directory_read, queue, report, step, submission, ticketed_queue,
 };
 use crate::simulation::{FaultRates, FleetSimulation};
 
@@ -494,7 +493,7 @@
 fn store_commits(owner: &mut OwnerMachine, now: u64) {
     for effect in owner.take_effects() {
         if let OwnerEffect::Commit(batch) = effect {
-            owner.on_commit(now, &batch, CommitOutcome::Stored);
+            owner.on_commit(now, &batch, STORED);
         }
     }
 }
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -661,7 +661,13 @@
                 Message::Committed(epoch, batch, CommitOutcome::Unknown),
             );
         } else {
-            let stored = Message::Committed(epoch, batch, CommitOutcome::Stored);
+            let stored = Message::Committed(
+                epoch,
+                batch,
+                CommitOutcome::Stored {
+                    revision: self.revision,
+                },
+            );
             self.push(1, stored);
         }
     }
--- a/crates/fleet/tests/fleet/ticks.rs
+++ b/crates/fleet/tests/fleet/ticks.rs
@@ -1,9 +1,9 @@
 //! Tests of the time at which the next tick is due.
 
 use lagoonnotch_fleet::model::{RenewReply, ResourceSize};
-use lagoonnotch_fleet::owner::{CommitOutcome, OwnerEffect, OwnerMachine, OwnerSettings};
+use lagoonnotch_fleet::owner::{OwnerEffect, OwnerMachine, OwnerSettings};
 
-use crate::fixtures::{config, directory_read, queue, report, step, submission};
+use crate::fixtures::{STORED, config, directory_read, queue, report, step, submission};
 
 /// Returns an owner with an upstream whose next renewal is due, and with a task to place.
 fn owner_with_work() -> OwnerMachine {
@@ -13,7 +13,7 @@
     owner.tick(1000, 1000, true);
     for effect in owner.take_effects() {
         if let OwnerEffect::Commit(batch) = effect {
-            owner.on_commit(1001, &batch, CommitOutcome::Stored);
+            owner.on_commit(1001, &batch, STORED);
         }
     }
     let empty = RenewReply {
@@ -38,7 +38,7 @@
     owner.tick(5000, 5000, false);
     for effect in owner.take_effects() {
         if let OwnerEffect::Commit(batch) = effect {
-            owner.on_commit(5000, &batch, CommitOutcome::Stored);
+            owner.on_commit(5000, &batch, STORED);
         }
     }
 
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -355,7 +355,7 @@
             }
             ControlInput::CommitFinished(commit_epoch, batch, outcome) if commit_epoch == epoch => {
                 machine.on_commit(now, &batch, outcome);
-                if outcome == CommitOutcome::Stored {
+                if matches!(outcome, CommitOutcome::Stored { .. }) {
                     log_final_states(&batch);
                 }
             }
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -323,11 +323,11 @@
     async fn commit(&self, epoch: u64, batch: CommitBatch) {
         let outcome = self.commits.write(epoch, &batch).await;
         self.metrics.count_commit(match outcome {
-            CommitOutcome::Stored => "stored",
+            CommitOutcome::Stored { .. } => "stored",
             CommitOutcome::Fenced => "fenced",
             CommitOutcome::Unknown => "unknown",
         });
-        if outcome != CommitOutcome::Stored {
+        if !matches!(outcome, CommitOutcome::Stored { .. }) {
             FleetEvent::CommitFailed.emit(json!({
                 "epoch": epoch,
                 "records": batch.progress.len() + batch.ended.len(),
--- a/crates/host/src/daemon/fleet_daemon.rs
+++ b/crates/host/src/daemon/fleet_daemon.rs
@@ -177,6 +177,7 @@
         task_lease_ms: defaults
             .task_lease_ms
             .min(settings.bounds.task_lease_max_ms),
+        max_lease_ms: settings.bounds.task_lease_max_ms,
         report_interval_ms: settings.report_interval_ms,
         ..defaults
     }
--- a/crates/host/src/store/commit_writer.rs
+++ b/crates/host/src/store/commit_writer.rs
@@ -81,7 +81,7 @@
         match (self.store.write)(request).await {
             WriteOutcome::Applied(revision) => {
                 state.revision = Some(revision);
-                CommitOutcome::Stored
+                CommitOutcome::Stored { revision }
             }
             WriteOutcome::Unknown | WriteOutcome::Conflict(_) => self.read_back(state).await,
             WriteOutcome::NotApplied | WriteOutcome::LeaseNotFound => CommitOutcome::Unknown,
@@ -93,7 +93,9 @@
         match (self.store.read)(commit_key(state.lane)).await {
             Ok(item) if is_own_commit(&item, state) => {
                 state.revision = Some(item.revision);
-                CommitOutcome::Stored
+                CommitOutcome::Stored {
+                    revision: item.revision,
+                }
             }
             Err(StoreError::NoResponse | StoreError::NotExecuted) => CommitOutcome::Unknown,
             _ => match (self.store.read)(OWNER_KEY.to_owned()).await {
--- a/crates/host/tests/host/commits.rs
+++ b/crates/host/tests/host/commits.rs
@@ -2,7 +2,7 @@
 
 use lagoonnotch_fleet::model::{ProgressRecord, SubmissionState};
 use lagoonnotch_fleet::owner::{CommitBatch, CommitOutcome};
-use lagoonnotch_host::store::{CommitWriter, OWNER_KEY, progress_key};
+use lagoonnotch_host::store::{CommitWriter, OWNER_KEY, commit_key, progress_key};
 
 use crate::fake_store::{FakeStore, WriteMode};
 
@@ -23,6 +23,12 @@
     (store, epoch)
 }
 
+/// Returns the outcome of a commit that was the last one to be stored in the first lane.
+fn stored_now(store: &FakeStore) -> CommitOutcome {
+    let revision = store.revision(&commit_key(0)).expect("a stored commit");
+    CommitOutcome::Stored { revision }
+}
+
 /// A write without a response may be applied seconds later; it must not overwrite newer progress.
 #[tokio::test]
 async fn delayed_commit_overwrites_nothing() {
@@ -38,7 +44,7 @@
     let applied_late = store.apply_delayed();
 
     assert_eq!(first, CommitOutcome::Unknown);
-    assert_eq!(second, CommitOutcome::Stored);
+    assert_eq!(second, stored_now(&store));
     assert_eq!(applied_late, 0);
     let stored = store.value(&progress_key("s1")).unwrap_or_default();
     assert!(stored.contains("Completed"), "{stored}");
@@ -53,7 +59,7 @@
 
     let outcome = writer.write(epoch, &batch(SubmissionState::Running)).await;
 
-    assert_eq!(outcome, CommitOutcome::Stored);
+    assert_eq!(outcome, stored_now(&store));
 }
 
 /// A commit of an owner that has been replaced must fail without writing anything.
@@ -85,5 +91,7 @@
         outcomes.push(writer.write(epoch, &batch(SubmissionState::Running)).await);
     }
 
-    assert_eq!(outcomes, vec![CommitOutcome::Stored; 3]);
+    let is_stored = |outcome: &CommitOutcome| matches!(outcome, CommitOutcome::Stored { .. });
+    assert_eq!(outcomes.iter().filter(|found| is_stored(found)).count(), 3);
+    assert_eq!(outcomes.last(), Some(&stored_now(&store)));
 }
--- a/crates/host/tests/host/fake_store.rs
+++ b/crates/host/tests/host/fake_store.rs
@@ -61,6 +61,12 @@
         Some(String::from_utf8_lossy(&item.value).into_owned())
     }
 
+    /// Returns the revision of a key's last write.
+    pub fn revision(&self, key: &str) -> Option<u64> {
+        let state = self.state.lock().expect("store lock");
+        Some(state.items.get(key)?.revision)
+    }
+
     pub fn delete(&self, key: &str) {
         let request = WriteRequest {
             delete: vec![key.to_owned()],
--- a/crates/host/tests/host/forwarding.rs
+++ b/crates/host/tests/host/forwarding.rs
@@ -57,6 +57,7 @@
         address: "10.0.0.1:80".into(),
         failure_domain: format!("d{}", upstream % 2).into(),
         epoch: EPOCH,
+        fence: EPOCH,
         ack_number: 0,
         deadline_ms: Some(9000),
         wait_ms: 1000,
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -308,7 +308,9 @@
             }
             Event::Committed(epoch, batch) => {
                 let now = self.now;
-                let outcome = CommitOutcome::Stored;
+                let outcome = CommitOutcome::Stored {
+                    revision: self.revision,
+                };
                 self.call_owner(|owner| owner.on_commit(now, &batch, outcome), epoch);
                 for (id, progress) in &batch.progress {
                     self.record_final_state(id, progress.state);
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -48,8 +48,8 @@
     pub speed: f64,
     /// Random number from 0 to 1; a fault affects the upstream if its share is larger.
     pub fault_rank: f64,
-    /// Highest owner epoch that it has seen.
-    pub epoch: u64,
+    /// Highest fencing token that it has seen.
+    pub fence: u64,
     /// When all leases expire, on its own clock.
     pub lease_deadline_ms: u64,
     /// Runs that have not finished.
@@ -102,7 +102,7 @@
             capacity,
             speed: 1.0,
             fault_rank: 1.0,
-            epoch: 0,
+            fence: 0,
             lease_deadline_ms: 0,
             runs: BTreeMap::new(),
             finished: Vec::new(),
@@ -194,10 +194,10 @@
     ) -> StartOutcome {
         self.advance(now);
         let clock = self.clock_ms(now);
-        if order.epoch < self.epoch {
+        if order.fence < self.fence {
             return StartOutcome::Rejected(RejectReason::Fenced);
         }
-        self.epoch = order.epoch;
+        self.fence = order.fence;
         if self
             .runs
             .get(&order.task)
@@ -241,10 +241,10 @@
     /// Handles an order to stop a run.
     pub fn stop(&mut self, now: u64, order: &StopOrder) -> StopOutcome {
         self.advance(now);
-        if order.epoch < self.epoch {
+        if order.fence < self.fence {
             return StopOutcome::Fenced;
         }
-        self.epoch = order.epoch;
+        self.fence = order.fence;
         let ends_at = now + self.stop_duration_ms;
         let present = self.runs.get_mut(&order.task);
         if let Some(run) = present.filter(|run| run.attempt <= order.attempt) {
@@ -265,21 +265,21 @@
     /// Extends the leases and drops acknowledged runs, but builds no reply.
     pub fn renew(&mut self, now: u64, order: &RenewOrder) {
         self.advance(now);
-        if order.epoch < self.epoch {
+        if order.fence < self.fence {
             return;
         }
-        self.epoch = order.epoch;
+        self.fence = order.fence;
         if let Some(deadline) = order.deadline_ms {
             self.lease_deadline_ms = self.lease_deadline_ms.max(deadline);
         }
         self.finished.retain(|run| run.number > order.ack_number);
     }
 
-    /// Renews the leases and lists running and finished runs; returns `None` if a higher epoch was
-    /// seen.
+    /// Renews the leases and lists running and finished runs; returns `None` if a higher fencing
+    /// token was seen.
     pub fn renew_and_report(&mut self, now: u64, order: &RenewOrder) -> Option<RenewReply> {
         self.renew(now, order);
-        if order.epoch < self.epoch {
+        if order.fence < self.fence {
             return None;
         }
         let listed = self.finished.iter().take(self.max_listed_finished);
