--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -121,8 +121,9 @@
         self.extend_isolation(now, upstream);
     }
 
-    /// Handles a renewal that was rejected because of a higher epoch.
-    pub fn on_renewal_fenced(&mut self) {
+    /// Handles a renewal with a fencing token that was rejected because the upstream has seen a higher
+    /// one.
+    pub fn on_renewal_fenced(&mut self, _now: u64, _upstream: &Arc<str>, _fence: u64) {
         self.step_down();
     }
 
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -16,6 +16,7 @@
 mod fleet_view;
 mod gang_placement;
 mod held_runs;
+mod incarnation_check;
 mod inventory;
 mod order_outcome;
 mod owner_machine;
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -556,7 +556,9 @@
                         Some(Ok(answer)) => {
                             owner.on_renewed(now, sent_at, &order.upstream, &answer);
                         }
-                        Some(Err(())) => owner.on_renewal_fenced(),
+                        Some(Err(())) => {
+                            owner.on_renewal_fenced(now, &order.upstream, order.fence);
+                        }
                         None => owner.on_renewal_failed(now, &order.upstream),
                     }
                 }
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -379,7 +379,7 @@
             log_finished_runs(&order.upstream, last_number, &reply);
             machine.on_renewed(now, renewal.handed_over_at, &order.upstream, &reply);
         }
-        RenewOutcome::Fenced => machine.on_renewal_fenced(),
+        RenewOutcome::Fenced => machine.on_renewal_fenced(now, &order.upstream, order.fence),
         RenewOutcome::OtherIncarnation => {
             machine.on_other_incarnation(now, &order.upstream, &order.address);
         }
