Simulate upstreams as harshly as the protocol describes them

Callers of upstreams that restart under their identifiers saw tasks run twice, and no test of the owner could show it: the simulated upstream granted leases of any length, its clock went on after a restart, and orders were checked against the incarnation for which they were sent.

A lease is now shortened to the upstream's maximum from the arrival of the order. An order that is rejected for an old attempt, for room or for its ticket extends the leases all the same. The clock of a new incarnation starts near 0. Renewals and stop orders can also be executed seconds late, and what is executed late gets no reply. Replies to starts and stops carry the reading of the clock to the owner.

The check of the incarnation at the arrival of a start order goes. It was wrong: the header that names the expected instance cannot tell two incarnations under one identifier and address apart, so that a start for the former one is executed by the new one. The new behavior is stricter, because it lets such a run begin instead of reporting `OtherIncarnation`, which also told the owner more than it can know. A ticket of a former incarnation is rejected, as the protocol says.

--- a/crates/fleet/tests/fleet/lost_owner.rs
+++ b/crates/fleet/tests/fleet/lost_owner.rs
@@ -155,8 +155,8 @@
         simulation.faults = FaultRates {
             lost_replies: random.below(10),
             late_orders: random.below(10),
-            failures: 0,
             lost_commits: random.below(20),
+            ..FaultRates::default()
         };
         simulation.run_until(simulation.now + random.below(1000));
 
--- a/crates/fleet/tests/fleet/promises.rs
+++ b/crates/fleet/tests/fleet/promises.rs
@@ -64,6 +64,7 @@
             late_orders,
             failures,
             lost_commits,
+            ..FaultRates::default()
         },
     )
 }
--- a/crates/fleet/tests/fleet/recorded_histories.rs
+++ b/crates/fleet/tests/fleet/recorded_histories.rs
@@ -9,6 +9,7 @@
 const NO_FAULTS: FaultRates = FaultRates {
     lost_replies: 0,
     late_orders: 0,
+    late_renewals: 0,
     failures: 0,
     lost_commits: 0,
 };
@@ -132,6 +133,7 @@
         late_orders: 2,
         failures: 5,
         lost_commits: 10,
+        ..NO_FAULTS
     };
     let events = [
         OverlappingTakeOver(100),
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use lagoonnotch_fleet::model::{
-    ApprovedConfig, DirectoryRead, ProgressRecord, ResourceSize, RunOutcome, StartOutcome,
-    StopOutcome, SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
+    ApprovedConfig, DirectoryRead, ProgressRecord, RenewReply, ResourceSize, RunOutcome,
+    StartOutcome, StopOutcome, SubmissionRecord, SubmissionState, TaskName, UpstreamReport,
 };
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, HeldRuns, HeldRunsRelease,
@@ -26,6 +26,9 @@
 /// Time after which a crashed upstream is back, in milliseconds.
 const DOWNTIME_MS: u64 = 3000;
 
+/// Shortest delay of an order that is executed late, in milliseconds.
+const SHORTEST_DELAY_MS: u64 = 2000;
+
 /// Deterministic random source.
 #[derive(Clone, Debug)]
 pub struct RandomSource(pub u64);
@@ -46,30 +49,41 @@
     }
 }
 
+/// The reading of an upstream's clock in its reply to a start or stop order.
+#[derive(Clone, Copy, Debug)]
+struct ReplyClock {
+    /// Time at which the order was sent.
+    sent_at: u64,
+    clock_ms: u64,
+}
+
 /// A message in transit.
 #[derive(Clone, Debug)]
 enum Message {
-    /// A start order, the incarnation that it is addressed to, and the invariants that a run would
-    /// violate that an upstream begins on it.
-    Start(StartOrder, u64, Vec<String>),
-    Started(StartOrder, StartOutcome),
-    Stop(StopOrder),
-    Stopped(StopOrder, StopOutcome),
+    /// A start order, the time at which it was sent, the invariants that a run would violate that
+    /// an upstream begins on it, and whether it is executed seconds late and not replied to.
+    Start(StartOrder, u64, Vec<String>, bool),
+    /// A start order, its outcome, `None` if it is not replied to, and the reading in the reply.
+    Started(StartOrder, Option<StartOutcome>, Option<ReplyClock>),
+    /// A stop order and the time at which it was sent.
+    Stop(StopOrder, u64),
+    /// A stop order that is executed seconds late and not replied to.
+    LateStop(StopOrder),
+    /// A stop order, its outcome and the reading in the reply.
+    Stopped(StopOrder, StopOutcome, Option<ReplyClock>),
     /// A renewal and the time at which it was sent.
     Renew(RenewOrder, u64),
+    /// A renewal that is executed seconds late and not replied to.
+    LateRenew(RenewOrder),
     /// A renewal, the time at which it was sent, and the reply: `None` if there was none, an error
     /// if the upstream has seen a higher epoch.
-    Renewed(
-        RenewOrder,
-        u64,
-        Option<Result<lagoonnotch_fleet::model::RenewReply, ()>>,
-    ),
+    Renewed(RenewOrder, u64, Option<Result<RenewReply, ()>>),
     /// The epoch of the owner and its commit.
     Commit(u64, CommitBatch),
     /// The epoch of the owner, its commit and the outcome.
     Committed(u64, CommitBatch, CommitOutcome),
-    /// The epoch of the owner, the number of its query and the outcome.
-    QueryDone(u64, u64, QueryOutcome),
+    /// The epoch of the owner, the number of its query and the upstreams that the query names.
+    Query(u64, u64, Vec<Arc<str>>),
 }
 
 /// Probabilities of faults, in percent.
@@ -79,6 +93,8 @@
     pub lost_replies: u64,
     /// Start orders without a reply that are executed seconds later.
     pub late_orders: u64,
+    /// Renewals and stop orders without a reply that are executed seconds later.
+    pub late_renewals: u64,
     /// Runs that fail.
     pub failures: u64,
     /// Commits that are stored but whose reply is lost.
@@ -90,6 +106,8 @@
     pub now: u64,
     pub random: RandomSource,
     pub faults: FaultRates,
+    /// Longest delay of an order that is executed late, in milliseconds.
+    pub longest_delay_ms: u64,
     pub owner: Option<OwnerMachine>,
     /// An owner that was replaced and does not know it yet, and the time until which it acts.
     pub previous: Option<(OwnerMachine, u64)>,
@@ -191,6 +209,7 @@
             now: 10_000,
             random,
             faults: FaultRates::default(),
+            longest_delay_ms: 8000,
             owner: None,
             previous: None,
             predecessor_lost: false,
@@ -326,12 +345,18 @@
         }
     }
 
-    /// Restarts an upstream under the same identifier, as after a crash; its runs are lost.
+    /// Restarts an upstream under the same identifier, as after a crash; its runs are lost, and its
+    /// clock starts anew.
     pub fn restart_upstream(&mut self, id: &str) {
         let offset = self.random.below(1000);
         if let Some(upstream) = self.upstreams.get_mut(id) {
             let incarnation = upstream.incarnation_unix_ms + 1;
-            *upstream = SimulatedUpstream::new(id, incarnation, offset);
+            *upstream = SimulatedUpstream {
+                clock_started_at: self.now,
+                clock_speed_per_mille: upstream.clock_speed_per_mille,
+                max_lease_ms: upstream.max_lease_ms,
+                ..SimulatedUpstream::new(id, incarnation, offset)
+            };
         }
     }
 
@@ -441,35 +466,18 @@
                     self.violations.append(&mut violations);
                 }
                 self.started.push(order.clone());
-                let incarnation = self.incarnation_of(&order.upstream);
-                self.push(1, Message::Start(order, incarnation, violations));
+                self.push(1, Message::Start(order, self.now, violations, false));
             }
             OwnerEffect::Stop(order) => {
                 self.stopped.push(order.clone());
-                self.push(1, Message::Stop(order));
+                self.push(1, Message::Stop(order, self.now));
             }
             OwnerEffect::Commit(batch) => self.push(4, Message::Commit(epoch, batch)),
             OwnerEffect::Query(order) => {
                 self.queries
                     .push((order.step.clone(), order.upstreams.len()));
-                let allowed = order
-                    .upstreams
-                    .iter()
-                    .filter(|id| {
-                        self.allowed
-                            .as_ref()
-                            .is_none_or(|allowed| allowed.contains(*id))
-                    })
-                    .map(|id| (id.clone(), Arc::from("ticket")))
-                    .collect();
-                let answer = QueryOutcome::Answered(PolicyDecision {
-                    allowed,
-                    valid_ms: 2000,
-                });
-                self.push(
-                    self.query_ms,
-                    Message::QueryDone(epoch, order.query_id, answer),
-                );
+                let query = Message::Query(epoch, order.query_id, order.upstreams);
+                self.push(self.query_ms, query);
             }
             OwnerEffect::ReportCrash(report) => self.crashes.push(report),
             OwnerEffect::ReportRecovery(bound) => self.recovery_bounds.push(bound),
@@ -510,28 +518,52 @@
 
     fn deliver(&mut self, message: Message) {
         match message {
-            Message::Start(order, incarnation, violations) => {
-                self.deliver_start(order, incarnation, violations);
+            Message::Start(order, sent_at, violations, late) => {
+                self.deliver_start(order, sent_at, violations, late);
             }
-            Message::Stop(order) => {
+            Message::Stop(order, sent_at) => {
+                if self.delay_order(
+                    &order.upstream,
+                    order.epoch,
+                    Message::LateStop(order.clone()),
+                ) {
+                    self.push(800, Message::Stopped(order, StopOutcome::Unknown, None));
+                    return;
+                }
                 let reached = !self.is_partitioned(&order.upstream, order.epoch);
                 let outcome = match self.upstreams.get_mut(&order.upstream) {
                     Some(upstream) if reached => upstream.stop(self.now, &order),
                     _ => StopOutcome::Unknown,
                 };
-                self.push(
-                    if reached { 1 } else { 800 },
-                    Message::Stopped(order, outcome),
-                );
+                let delay = if reached { 1 } else { 800 };
+                let clock = self.reply_clock(&order.upstream, sent_at);
+                let clock = clock.filter(|_| reached);
+                self.push(delay, Message::Stopped(order, outcome, clock));
+            }
+            Message::LateStop(order) => {
+                let reached = !self.is_partitioned(&order.upstream, order.epoch);
+                if let Some(upstream) = self.upstreams.get_mut(&order.upstream)
+                    && reached
+                {
+                    upstream.stop(self.now, &order);
+                }
+            }
+            Message::LateRenew(order) => {
+                if !self.is_partitioned(&order.upstream, order.epoch) {
+                    self.execute_renewal(&order);
+                }
             }
             Message::Renew(order, sent_at) => {
+                if self.delay_order(
+                    &order.upstream,
+                    order.epoch,
+                    Message::LateRenew(order.clone()),
+                ) {
+                    self.push(800, Message::Renewed(order, sent_at, None));
+                    return;
+                }
                 let reached = !self.is_partitioned(&order.upstream, order.epoch);
-                let answer = match self.upstreams.get_mut(&order.upstream) {
-                    Some(upstream) if reached => {
-                        Some(upstream.renew_and_report(self.now, &order).ok_or(()))
-                    }
-                    _ => None,
-                };
+                let answer = reached.then(|| self.execute_renewal(&order)).flatten();
                 let wait = order.wait_ms.min(50);
                 self.push(
                     if reached { 1 + wait } else { 2000 },
@@ -539,12 +571,16 @@
                 );
             }
             Message::Commit(epoch, batch) => self.deliver_commit(epoch, batch),
-            Message::Started(order, outcome) => {
-                if let Some(owner) = self.owner_of(order.epoch) {
+            Message::Started(order, outcome, clock) => {
+                self.report_clock(order.epoch, &order.upstream, clock);
+                if let Some(outcome) = outcome
+                    && let Some(owner) = self.owner_of(order.epoch)
+                {
                     owner.1.on_start(owner.0, &order, outcome);
                 }
             }
-            Message::Stopped(order, outcome) => {
+            Message::Stopped(order, outcome, clock) => {
+                self.report_clock(order.epoch, &order.upstream, clock);
                 if let Some(owner) = self.owner_of(order.epoch) {
                     owner.1.on_stop(owner.0, &order, outcome);
                 }
@@ -568,7 +604,8 @@
                     owner.on_commit(now, &batch, outcome);
                 }
             }
-            Message::QueryDone(epoch, query_id, outcome) => {
+            Message::Query(epoch, query_id, upstreams) => {
+                let outcome = self.policy_decision(&upstreams);
                 if let Some((now, owner)) = self.owner_of(epoch) {
                     owner.on_query_outcome(now, query_id, &outcome);
                 }
@@ -576,34 +613,84 @@
         }
     }
 
+    /// Returns the policy service's answer to a query; a ticket is for the present incarnation.
+    fn policy_decision(&self, upstreams: &[Arc<str>]) -> QueryOutcome {
+        let may_run = |id: &&Arc<str>| {
+            let allowed = self.allowed.as_ref();
+            allowed.is_none_or(|allowed| allowed.contains(*id))
+        };
+        let tickets = upstreams.iter().filter(may_run).filter_map(|id| {
+            let upstream = self.upstreams.get(id)?;
+            Some((id.clone(), upstream.ticket.clone()))
+        });
+        QueryOutcome::Answered(PolicyDecision {
+            allowed: tickets.collect(),
+            valid_ms: 2000,
+        })
+    }
+
     fn owner_of(&mut self, epoch: u64) -> Option<(u64, &mut OwnerMachine)> {
         let now = self.now;
         let owner = self.owners_mut().find(|owner| owner.epoch() == epoch)?;
         Some((now, owner))
     }
 
-    fn incarnation_of(&self, id: &Arc<str>) -> u64 {
-        self.upstreams
-            .get(id)
-            .map_or(0, |upstream| upstream.incarnation_unix_ms)
+    /// Delays a renewal or a stop order at random, to be executed by the incarnation that lives then.
+    fn delay_order(&mut self, id: &Arc<str>, epoch: u64, late: Message) -> bool {
+        let delayed = self.faults.late_renewals > 0
+            && !self.is_partitioned(id, epoch)
+            && self.random.chance(self.faults.late_renewals);
+        if delayed {
+            let delay = self.draw_delay();
+            self.push(delay, late);
+        }
+        delayed
+    }
+
+    /// Returns the reading that an upstream's reply to an order carries now.
+    fn reply_clock(&self, id: &Arc<str>, sent_at: u64) -> Option<ReplyClock> {
+        let clock_ms = self.upstreams.get(id)?.clock_ms(self.now);
+        Some(ReplyClock { sent_at, clock_ms })
+    }
+
+    fn report_clock(&mut self, epoch: u64, id: &Arc<str>, clock: Option<ReplyClock>) {
+        if let Some(clock) = clock
+            && let Some((now, owner)) = self.owner_of(epoch)
+        {
+            owner.on_clock_reading(now, clock.sent_at, id, clock.clock_ms);
+        }
+    }
+
+    fn draw_delay(&mut self) -> u64 {
+        let range = self.longest_delay_ms - SHORTEST_DELAY_MS;
+        SHORTEST_DELAY_MS + self.random.below(range)
+    }
+
+    /// Has an upstream execute a renewal; returns `None` if there is none of that name.
+    fn execute_renewal(&mut self, order: &RenewOrder) -> Option<Result<RenewReply, ()>> {
+        let upstream = self.upstreams.get_mut(&order.upstream)?;
+        Some(upstream.renew_and_report(self.now, order).ok_or(()))
     }
 
-    fn deliver_start(&mut self, order: StartOrder, incarnation: u64, violations: Vec<String>) {
+    fn deliver_start(
+        &mut self,
+        order: StartOrder,
+        sent_at: u64,
+        violations: Vec<String>,
+        late: bool,
+    ) {
+        let no_reply = (!late).then_some(StartOutcome::Unknown);
         if self.is_partitioned(&order.upstream, order.epoch) {
-            self.push(800, Message::Started(order, StartOutcome::Unknown));
+            self.push(800, Message::Started(order, no_reply, None));
             return;
         }
         if self.random.chance(self.faults.late_orders) {
-            let later = 2000 + self.random.below(6000);
-            self.push(800, Message::Started(order.clone(), StartOutcome::Unknown));
-            self.push(later, Message::Start(order, incarnation, violations));
+            let later = self.draw_delay();
+            self.push(800, Message::Started(order.clone(), no_reply, None));
+            self.push(later, Message::Start(order, sent_at, violations, true));
             return;
         }
         let drawn = 200 + self.random.below(1500);
-        if self.incarnation_of(&order.upstream) != incarnation {
-            self.push(1, Message::Started(order, StartOutcome::OtherIncarnation));
-            return;
-        }
         let duration = self.run_ms.unwrap_or(drawn);
         let failed = self.random.chance(self.faults.failures);
         let end = if failed {
@@ -626,9 +713,14 @@
             self.crash_upstream(&order.upstream);
         }
         if self.random.chance(self.faults.lost_replies) {
-            self.push(800, Message::Started(order, StartOutcome::Unknown));
+            self.push(800, Message::Started(order, no_reply, None));
         } else {
-            self.push(1, Message::Started(order, outcome));
+            let clock = self.reply_clock(&order.upstream, sent_at);
+            let clock = clock.filter(|_| !late);
+            self.push(
+                1,
+                Message::Started(order, (!late).then_some(outcome), clock),
+            );
         }
     }
 
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -598,7 +598,7 @@
             .upstreams
             .iter()
             .filter(|id| is_allowed(&order.step, id, kind.allowed_share))
-            .map(|id| (id.clone(), Arc::from("ticket")))
+            .filter_map(|id| Some((id.clone(), self.upstreams.get(id)?.ticket.clone())))
             .collect();
         let free_at = self.policy_free_at.entry(order.host.clone()).or_default();
         *free_at = (*free_at).max(self.now) + takes;
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -12,6 +12,9 @@
 /// Maximum number of finished runs that the upstreams of the platform list at a time.
 const MAX_LISTED_FINISHED: usize = 500;
 
+/// Longest lease that the upstreams of the platform grant, in milliseconds of their clocks.
+const MAX_LEASE_MS: u64 = 10_000;
+
 /// A run that has not finished.
 #[derive(Clone, Debug)]
 pub struct SimulatedRun {
@@ -38,12 +41,16 @@
     pub incarnation_unix_ms: u64,
     /// Entry in the directory.
     pub report: UpstreamReport,
-    /// Offset of its clock from virtual time, in milliseconds.
+    /// Virtual time from which its clock counts.
+    pub clock_started_at: u64,
+    /// Reading of its clock at that time, in milliseconds.
     pub clock_offset_ms: u64,
     /// Speed of its clock, in thousandths of that of virtual time.
     pub clock_speed_per_mille: u64,
     /// Resources that its runs may use together.
     pub capacity: ResourceSize,
+    /// Resources beyond which it rejects runs; `None` accepts all.
+    pub admission_limit: Option<ResourceSize>,
     /// Speed of its runs; 1 is the normal speed.
     pub speed: f64,
     /// Random number from 0 to 1; a fault affects the upstream if its share is larger.
@@ -52,6 +59,10 @@
     pub fence: u64,
     /// When all leases expire, on its own clock.
     pub lease_deadline_ms: u64,
+    /// Longest lease that it grants, in milliseconds of its clock; longer ones are shortened.
+    pub max_lease_ms: u64,
+    /// Number of the last run that had finished when the leases last expired.
+    pub lapsed_finish_number: u64,
     /// Runs that have not finished.
     pub runs: BTreeMap<TaskName, SimulatedRun>,
     /// Finished runs that the owner has not acknowledged yet.
@@ -60,6 +71,8 @@
     pub max_listed_finished: usize,
     /// Number of the next finished run.
     pub next_finish_number: u64,
+    /// Ticket that the policy service issues for this incarnation.
+    pub ticket: Arc<str>,
     /// Highest attempt of each task that was stopped or has finished.
     pub finished_attempts: BTreeMap<TaskName, u32>,
     /// Time from an order to stop until the run has finished, in milliseconds.
@@ -97,17 +110,22 @@
                 capacity,
                 labels: Arc::from([]),
             },
+            clock_started_at: 0,
             clock_offset_ms,
             clock_speed_per_mille: 1000,
             capacity,
+            admission_limit: None,
             speed: 1.0,
             fault_rank: 1.0,
             fence: 0,
             lease_deadline_ms: 0,
+            max_lease_ms: MAX_LEASE_MS,
+            lapsed_finish_number: 0,
             runs: BTreeMap::new(),
             finished: Vec::new(),
             max_listed_finished: MAX_LISTED_FINISHED,
             next_finish_number: 1,
+            ticket: format!("ticket-{incarnation_unix_ms}").into(),
             finished_attempts: BTreeMap::new(),
             stop_duration_ms: 0,
             stopped_count: 0,
@@ -120,8 +138,15 @@
     }
 
     /// Returns the time on its own clock, in milliseconds.
-    fn clock_ms(&self, now: u64) -> u64 {
-        now * self.clock_speed_per_mille / 1000 + self.clock_offset_ms
+    #[must_use]
+    pub fn clock_ms(&self, now: u64) -> u64 {
+        (now - self.clock_started_at) * self.clock_speed_per_mille / 1000 + self.clock_offset_ms
+    }
+
+    /// Extends all leases to a time on its own clock, but not beyond the longest lease from now.
+    fn extend_leases(&mut self, now: u64, deadline_ms: u64) {
+        let longest = self.clock_ms(now) + self.max_lease_ms;
+        self.lease_deadline_ms = self.lease_deadline_ms.max(deadline_ms.min(longest));
     }
 
     /// Finishes all runs that are due or whose lease has expired.
@@ -146,6 +171,15 @@
             };
             self.finish(now, &name, outcome);
         }
+        if lease_expired {
+            self.lapsed_finish_number = self.next_finish_number - 1;
+        }
+    }
+
+    /// Returns the resources that its runs use together.
+    fn used(&self) -> ResourceSize {
+        let runs = self.runs.values();
+        runs.fold(ResourceSize::ZERO, |sum, run| sum + run.size)
     }
 
     fn percent(&self, now: u64, run: &SimulatedRun) -> u32 {
@@ -184,7 +218,8 @@
         checkpoint.and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 
-    /// Handles an order to start a run; `run` is its duration in milliseconds and how it finishes.
+    /// Handles an order to start a run; `run` is its duration in milliseconds and how it finishes. An
+    /// order that is rejected extends the leases all the same, unless its fencing token is too low.
     pub fn start(
         &mut self,
         now: u64,
@@ -203,7 +238,7 @@
             .get(&order.task)
             .is_some_and(|present| present.attempt == order.attempt)
         {
-            self.lease_deadline_ms = self.lease_deadline_ms.max(order.deadline_ms);
+            self.extend_leases(now, order.deadline_ms);
             return StartOutcome::Started;
         }
         if self
@@ -211,12 +246,24 @@
             .get(&order.task)
             .is_some_and(|highest_finished| order.attempt <= *highest_finished)
         {
+            self.extend_leases(now, order.deadline_ms);
             return StartOutcome::Rejected(RejectReason::OldAttempt);
         }
         if order.deadline_ms <= clock {
             return StartOutcome::Rejected(RejectReason::Late);
         }
-        self.lease_deadline_ms = self.lease_deadline_ms.max(order.deadline_ms);
+        self.extend_leases(now, order.deadline_ms);
+        if order
+            .ticket
+            .as_ref()
+            .is_some_and(|ticket| *ticket != self.ticket)
+        {
+            return StartOutcome::Rejected(RejectReason::Ticket);
+        }
+        let used = self.used() + size;
+        if self.admission_limit.is_some_and(|limit| !used.fits(&limit)) {
+            return StartOutcome::Rejected(RejectReason::NoRoom);
+        }
         let (duration, outcome) = run;
         let resumed_work_ms = self.checkpoint_work_ms(order);
         self.runs.insert(
@@ -230,11 +277,7 @@
                 resumed_work_ms,
             },
         );
-        let mut sum = ResourceSize::ZERO;
-        for run in self.runs.values() {
-            sum += run.size;
-        }
-        self.peak_usage = self.peak_usage.max(&sum);
+        self.peak_usage = self.peak_usage.max(&self.used());
         StartOutcome::Started
     }
 
@@ -270,7 +313,7 @@
         }
         self.fence = order.fence;
         if let Some(deadline) = order.deadline_ms {
-            self.lease_deadline_ms = self.lease_deadline_ms.max(deadline);
+            self.extend_leases(now, deadline);
         }
         self.finished.retain(|run| run.number > order.ack_number);
     }
