Check that upstreams forget no finished run unseen

Callers saw tasks done twice because an upstream forgot a finished run that no owner had seen. The simulation did not notice: it took tasks for acknowledged by what the store said, not by what the upstreams forgot.

Whenever an upstream executes a renewal, late ones included, each finished run that it forgets must have been listed in a reply that reached the present or a former owner, and for a run that was done the store must record this, or a newer attempt. A task that begins again after a run of it was done is a violation once that run is acknowledged, unless the leases there have expired in between. The checks are always on.

--- a/crates/fleet/tests/fleet/invariant_checks.rs
+++ b/crates/fleet/tests/fleet/invariant_checks.rs
@@ -3,11 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use lagoonnotch_fleet::model::{ResourceSize, SubmissionState, TaskName};
+use lagoonnotch_fleet::model::{
+    FinishedRun, RenewReply, ResourceSize, RunOutcome, SubmissionState, TaskName,
+};
 use lagoonnotch_fleet::owner::{RenewOrder, StartOrder};
 
 use crate::simulation::FleetSimulation;
 
+/// A finished run: its upstream, the incarnation and its number.
+pub type FinishedRunKey = (Arc<str>, u64, u64);
+
 impl FleetSimulation {
     /// Records all tasks that are stored as done, if this renewal acknowledges any finished run.
     pub(crate) fn record_acks(&mut self, order: &RenewOrder) {
@@ -30,6 +35,79 @@
         }
     }
 
+    /// Records which finished runs of an upstream an owner has seen in a reply.
+    pub(crate) fn record_listed(&mut self, id: &Arc<str>, reply: &RenewReply) {
+        let incarnation = reply.incarnation_unix_ms;
+        let listed = reply.finished.iter();
+        let keys = listed.map(|finished| (id.clone(), incarnation, finished.number));
+        self.listed_finished.extend(keys);
+    }
+
+    /// Checks the finished runs that an upstream forgets when it executes a renewal: an owner has
+    /// seen each of them in a reply, the store has its change, and no other run of a done task has
+    /// begun since it finished. The latter does not apply if the leases have expired in between.
+    pub(crate) fn check_forgotten(&mut self, order: &RenewOrder) {
+        let Some(upstream) = self.upstreams.get_mut(&order.upstream) else {
+            return;
+        };
+        if order.fence < upstream.fence {
+            return;
+        }
+        upstream.advance(self.now);
+        let (incarnation, lapsed) = (upstream.incarnation_unix_ms, upstream.lapsed_finish_number);
+        let finished = upstream.finished.iter();
+        let acknowledged = finished.filter(|finished| finished.number <= order.ack_number);
+        let forgotten: Vec<_> = acknowledged.cloned().collect();
+        for finished in forgotten {
+            let (task, number) = (&finished.task, finished.number);
+            let key = (order.upstream.clone(), incarnation, number);
+            let text = format!("{task} ended as {:?} on {}", finished.outcome, key.0);
+            if !self.listed_finished.contains(&key) {
+                let unseen = format!("{text}, forgotten unseen at {}", self.now);
+                self.violations.push(unseen);
+            }
+            let Some(name) = TaskName::parse(task) else {
+                continue;
+            };
+            if finished.outcome != RunOutcome::Done || self.may_repeat(&name) {
+                continue;
+            }
+            if !self.is_stored(&name, &finished) {
+                let unstored = format!("{text}, forgotten before it was stored");
+                self.violations.push(unstored);
+            }
+            if number > lapsed {
+                if self.repeated_done.contains(&key) {
+                    let repeated = format!("{text}, and began again before that was acknowledged");
+                    self.violations.push(repeated);
+                }
+                self.acknowledged_tasks.insert(name);
+            }
+        }
+    }
+
+    /// Returns whether tasks of a step may run again after they are done.
+    fn may_repeat(&self, name: &TaskName) -> bool {
+        let (record, _) = &self.submissions[&name.submission];
+        record.steps[name.step as usize].long_running
+    }
+
+    /// Returns whether the store records that a task is done, or a newer attempt of it.
+    fn is_stored(&self, name: &TaskName, finished: &FinishedRun) -> bool {
+        let Some(progress) = self.progress.get(&name.submission) else {
+            return false;
+        };
+        let is_done = progress.steps.iter().any(|step| {
+            (step.occurrence, step.step) == (name.occurrence, name.step)
+                && step.done.contains(&name.index)
+        });
+        let is_superseded = progress.runs.iter().any(|run| {
+            (run.occurrence, run.step, run.index) == (name.occurrence, name.step, name.index)
+                && run.attempt > finished.attempt
+        });
+        progress.state.is_final() || is_done || is_superseded
+    }
+
     /// Returns the invariants that an order violates: a start is not for a task recorded in
     /// `acknowledged_tasks`, for a submission that has ended, or for a step whose dependencies still
     /// run. An order of the present owner violates them when it is sent. One of a replaced owner,
@@ -76,6 +154,16 @@
             self.violations
                 .push(format!("{} ran after it was done", order.task));
         }
+        let task = order.task.to_string();
+        for (id, upstream) in &self.upstreams {
+            let done = upstream
+                .finished
+                .iter()
+                .filter(|finished| finished.outcome == RunOutcome::Done && *finished.task == *task);
+            let incarnation = upstream.incarnation_unix_ms;
+            let keys = done.map(|finished| (id.clone(), incarnation, finished.number));
+            self.repeated_done.extend(keys);
+        }
     }
 
     /// Checks that no task runs on two upstreams.
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::fixtures::{directory_read, report};
+use crate::invariant_checks::FinishedRunKey;
 use lagoonnotch_model::SimulatedUpstream;
 
 /// Interval between two ticks of the owner, in milliseconds.
@@ -160,6 +161,11 @@
     pub violations: Vec<String>,
     /// Tasks that the store recorded as done when a renewal acknowledged finished runs.
     pub acknowledged_tasks: BTreeSet<TaskName>,
+    /// Finished runs that an owner has seen in a reply.
+    pub listed_finished: BTreeSet<FinishedRunKey>,
+    /// Finished runs of tasks that were done, after which the task began again before the run was
+    /// acknowledged.
+    pub repeated_done: BTreeSet<FinishedRunKey>,
     /// Start orders that were sent.
     pub started: Vec<StartOrder>,
     /// Stop orders that were sent.
@@ -240,6 +246,8 @@
             next_directory_at: 0,
             violations: Vec::new(),
             acknowledged_tasks: BTreeSet::new(),
+            listed_finished: BTreeSet::new(),
+            repeated_done: BTreeSet::new(),
             started: Vec::new(),
             stopped: Vec::new(),
             queries: Vec::new(),
@@ -587,6 +595,11 @@
             }
             Message::Renewed(order, sent_at, answer) => {
                 self.record_acks(&order);
+                if let Some(Ok(reply)) = &answer
+                    && self.owner_of(order.epoch).is_some()
+                {
+                    self.record_listed(&order.upstream, reply);
+                }
                 if let Some((now, owner)) = self.owner_of(order.epoch) {
                     match answer {
                         Some(Ok(answer)) => {
@@ -668,6 +681,7 @@
 
     /// Has an upstream execute a renewal; returns `None` if there is none of that name.
     fn execute_renewal(&mut self, order: &RenewOrder) -> Option<Result<RenewReply, ()>> {
+        self.check_forgotten(order);
         let upstream = self.upstreams.get_mut(&order.upstream)?;
         Some(upstream.renew_and_report(self.now, order).ok_or(()))
     }
