Tell starts that no connection carried from refused ones

A start order for which no connection could be made was reported like one that the upstream had answered with 429 or 503. The two differ in what they say: an answer shows that the upstream is up, while the lack of a connection may mean that it has ended or is starting again. The owner could not tell them apart.

`StartOutcome::NotSent` stands for the former, counted as `start_not_sent`. The owner treats it like `Unhealthy` for now. An order that the host does not send because its ownership may have expired stays `Unhealthy`.

--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -137,9 +137,11 @@
     Started,
     /// The upstream rejected the order.
     Rejected(RejectReason),
-    /// The order was certainly not executed: it was not sent, or the upstream is overloaded or
-    /// unhealthy.
+    /// The order was certainly not executed: the upstream is overloaded or unhealthy, or the host did
+    /// not send it because its ownership may have expired.
     Unhealthy,
+    /// The order was certainly not sent: no connection could be made.
+    NotSent,
     /// A different incarnation answers at the address.
     OtherIncarnation,
     /// No answer: the order may still be executed, possibly later.
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -52,10 +52,12 @@
                 self.release_rejected(now, order, Some(reason));
             }
             StartOutcome::Rejected(_) => self.withdraw_start(now, order),
-            StartOutcome::Unhealthy | StartOutcome::OtherIncarnation if run.start_orders > 1 => {
+            StartOutcome::Unhealthy | StartOutcome::NotSent | StartOutcome::OtherIncarnation
+                if run.start_orders > 1 =>
+            {
                 self.withdraw_start(now, order);
             }
-            StartOutcome::Unhealthy | StartOutcome::OtherIncarnation => {
+            StartOutcome::Unhealthy | StartOutcome::NotSent | StartOutcome::OtherIncarnation => {
                 self.release_rejected(now, order, None);
             }
         }
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -349,6 +349,7 @@
         StartOutcome::Started => "started",
         StartOutcome::Rejected(_) => "start_rejected",
         StartOutcome::Unhealthy => "start_unhealthy",
+        StartOutcome::NotSent => "start_not_sent",
         StartOutcome::OtherIncarnation => "start_other_incarnation",
         StartOutcome::Unknown => "start_unknown",
     }
