Pass the clock readings of start and stop answers to the owner

Every response of an upstream carries a reading of its clock, but only those to renewals were read. An upstream that has started again under its identifier shows it first in the answer to a start or stop order, refused ones included, and the owner did not learn of it before the next list of runs.

It reaches the owner with the time at which the order was sent, right before the outcome. The owner decides nothing by it yet.

--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -344,11 +344,13 @@
                     apply_renewal(machine, now, renewal);
                 }
             }
-            ControlInput::StartFinished(order, outcome) if order.epoch == epoch => {
-                machine.on_start(now, &order, outcome);
+            ControlInput::StartFinished(order, sent_at, answer) if order.epoch == epoch => {
+                apply_clock(machine, now, sent_at, &order.upstream, answer.clock_ms);
+                machine.on_start(now, &order, answer.outcome);
             }
-            ControlInput::StopFinished(order, outcome) if order.epoch == epoch => {
-                machine.on_stop(now, &order, outcome);
+            ControlInput::StopFinished(order, sent_at, answer) if order.epoch == epoch => {
+                apply_clock(machine, now, sent_at, &order.upstream, answer.clock_ms);
+                machine.on_stop(now, &order, answer.outcome);
             }
             ControlInput::QueryFinished(query_epoch, query_id, outcome) if query_epoch == epoch => {
                 machine.on_query_outcome(now, query_id, &outcome);
@@ -370,6 +372,19 @@
     }
 }
 
+/// Applies the reading of an upstream's clock in an answer, if there is one.
+fn apply_clock(
+    machine: &mut OwnerMachine,
+    now: u64,
+    sent_at: u64,
+    upstream: &Arc<str>,
+    clock_ms: Option<u64>,
+) {
+    if let Some(clock_ms) = clock_ms {
+        machine.on_clock_reading(now, sent_at, upstream, clock_ms);
+    }
+}
+
 /// Applies the outcome of a renewal.
 fn apply_renewal(machine: &mut OwnerMachine, now: u64, renewal: SettledRenewal) {
     let order = renewal.order;
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -9,7 +9,7 @@
 
 use crate::forward::{BatchReceipt, RenewalReport};
 use crate::peer::{HeartbeatReply, HeartbeatRequest, SubmissionLookup};
-use crate::ports::RenewOutcome;
+use crate::ports::{OrderAnswer, RenewOutcome};
 
 /// An ownership granted by the store, with the state to recover from.
 #[derive(Debug)]
@@ -98,10 +98,10 @@
     RenewalsForwarded(ForwardedBatch),
     /// A delegate reported outcomes of renewals.
     RenewalsReported(RenewalReport),
-    /// A start order finished; carries the order and the outcome.
-    StartFinished(StartOrder, StartOutcome),
-    /// A stop order finished; carries the order and the outcome.
-    StopFinished(StopOrder, StopOutcome),
+    /// A start order finished; carries the order, the time at which it was sent, and the answer.
+    StartFinished(StartOrder, u64, OrderAnswer<StartOutcome>),
+    /// A stop order finished; carries the order, the time at which it was sent, and the answer.
+    StopFinished(StopOrder, u64, OrderAnswer<StopOutcome>),
     /// A policy query finished; carries the epoch in which it was sent, its number, and the
     /// outcome.
     QueryFinished(u64, u64, QueryOutcome),
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -18,7 +18,7 @@
 use crate::forward::BatchOrder;
 use crate::metrics::{FleetMetrics, WorkKind, measured, timer_delay_ms};
 use crate::peer::PeerClients;
-use crate::ports::{PlatformPorts, PolicyRequest, RenewOutcome};
+use crate::ports::{OrderAnswer, PlatformPorts, PolicyRequest, RenewOutcome};
 use crate::store::CommitWriter;
 
 /// Executes each effect in its own task, and sends the outcome to the control actor.
@@ -210,11 +210,13 @@
     }
 
     async fn start(&self, order: StartOrder, valid_until: u64) {
-        let outcome = if now_ms() < valid_until {
+        let sent_at = now_ms();
+        let answer = if sent_at < valid_until {
             (self.ports.upstream.start)(order.clone()).await
         } else {
-            StartOutcome::Unhealthy
+            OrderAnswer::without_clock(StartOutcome::Unhealthy)
         };
+        let outcome = answer.outcome;
         self.metrics.count_order(start_outcome_kind(outcome));
         if outcome == StartOutcome::Started {
             FleetEvent::TaskOrdered.emit(json!({
@@ -235,12 +237,14 @@
             }));
         }
         self.control
-            .send(ControlInput::StartFinished(order, outcome))
+            .send(ControlInput::StartFinished(order, sent_at, answer))
             .await;
     }
 
     async fn stop(&self, order: StopOrder) {
-        let outcome = (self.ports.upstream.stop)(order.clone()).await;
+        let sent_at = now_ms();
+        let answer = (self.ports.upstream.stop)(order.clone()).await;
+        let outcome = answer.outcome;
         self.metrics.count_order(match outcome {
             StopOutcome::Accepted => "stop_accepted",
             _ => "stop_failed",
@@ -256,7 +260,7 @@
             "outcome": format!("{outcome:?}"),
         }));
         self.control
-            .send(ControlInput::StopFinished(order, outcome))
+            .send(ControlInput::StopFinished(order, sent_at, answer))
             .await;
     }
 
--- a/crates/host/src/ports/mod.rs
+++ b/crates/host/src/ports/mod.rs
@@ -11,4 +11,4 @@
     LeaseGrant, ListPage, ListRequest, StoreError, StoreItem, StorePort, WatchRequest,
     WatchResponse, WriteOutcome, WriteRequest,
 };
-pub use upstream_port::{PolicyRequest, RenewOutcome, UpstreamPort};
+pub use upstream_port::{OrderAnswer, PolicyRequest, RenewOutcome, UpstreamPort};
--- a/crates/host/src/ports/upstream_port.rs
+++ b/crates/host/src/ports/upstream_port.rs
@@ -32,15 +32,35 @@
     pub timeout_ms: u64,
 }
 
+/// Answer to an order to start or stop a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderAnswer<T> {
+    /// Outcome.
+    pub outcome: T,
+    /// Reading of the upstream's clock, in milliseconds; `None` if the answer has none.
+    pub clock_ms: Option<u64>,
+}
+
+impl<T> OrderAnswer<T> {
+    /// Returns an outcome without a reading of the upstream's clock.
+    #[must_use]
+    pub fn without_clock(outcome: T) -> Self {
+        Self {
+            outcome,
+            clock_ms: None,
+        }
+    }
+}
+
 /// Operations of upstreams and of the policy service.
 #[derive(Clone)]
 pub struct UpstreamPort {
     /// Renews the leases on an upstream and lists its runs.
     pub renew_leases: Port<RenewOrder, RenewOutcome>,
     /// Starts a task.
-    pub start: Port<StartOrder, StartOutcome>,
+    pub start: Port<StartOrder, OrderAnswer<StartOutcome>>,
     /// Stops a run.
-    pub stop: Port<StopOrder, StopOutcome>,
+    pub stop: Port<StopOrder, OrderAnswer<StopOutcome>>,
     /// Queries the policy service.
     pub query_policy: Port<PolicyRequest, QueryOutcome>,
 }
--- a/crates/host/tests/host/fixtures.rs
+++ b/crates/host/tests/host/fixtures.rs
@@ -6,7 +6,9 @@
 
 use lagoonnotch_fleet::model::{StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::QueryOutcome;
-use lagoonnotch_host::ports::{OperatorState, PlatformPorts, RenewOutcome, UpstreamPort, port};
+use lagoonnotch_host::ports::{
+    OperatorState, OrderAnswer, PlatformPorts, RenewOutcome, UpstreamPort, port,
+};
 
 use crate::fake_store::FakeStore;
 
@@ -16,8 +18,8 @@
         store: FakeStore::default().port(),
         upstream: UpstreamPort {
             renew_leases: port(|_| ready(RenewOutcome::Failed)),
-            start: port(|_| ready(StartOutcome::Unhealthy)),
-            stop: port(|_| ready(StopOutcome::Accepted)),
+            start: port(|_| ready(OrderAnswer::without_clock(StartOutcome::Unhealthy))),
+            stop: port(|_| ready(OrderAnswer::without_clock(StopOutcome::Accepted))),
             query_policy: port(|_| ready(QueryOutcome::Failed)),
         },
         operator_prefix: "operator/".into(),
--- a/crates/host/tests/host/forwarding.rs
+++ b/crates/host/tests/host/forwarding.rs
@@ -13,7 +13,7 @@
     ReportedRenewal,
 };
 use lagoonnotch_host::peer::PeerClients;
-use lagoonnotch_host::ports::{RenewOutcome, UpstreamPort, port};
+use lagoonnotch_host::ports::{OrderAnswer, RenewOutcome, UpstreamPort, port};
 
 /// Epoch of the owner.
 const EPOCH: u64 = 40;
@@ -358,8 +358,8 @@
             calls.fetch_add(1, Ordering::Relaxed);
             std::future::ready(RenewOutcome::Failed)
         }),
-        start: port(|_| std::future::ready(StartOutcome::Unknown)),
-        stop: port(|_| std::future::ready(StopOutcome::Unknown)),
+        start: port(|_| std::future::ready(OrderAnswer::without_clock(StartOutcome::Unknown))),
+        stop: port(|_| std::future::ready(OrderAnswer::without_clock(StopOutcome::Unknown))),
         query_policy: port(|_| std::future::ready(QueryOutcome::Failed)),
     }
 }
