Grant and acknowledge nothing in renewals that the owner repeats

A renewal that a delegate took and that came to nothing (no receipt, no outcome, not accepted, dropped, or no answer) was sent again by the owner as it was, up to 1.8 s after it had been made. If the upstream had started again in between, the new incarnation got a deadline on the clock of the former one, which it cuts to the longest lease, and an ack_number of the former one, which made it forget finished runs that nobody had seen: tasks run twice.

The repeated renewal now only asks for the list; the owner grants and acknowledges again with the next one, which it sends as soon as this is answered. That holds also for an order that was certainly never sent, in a batch that was not accepted or was dropped: its terms are as old, the forwarder can't know whether an order to the same upstream has gone without an answer since, and the price is one round trip.

Two tests demanded that the repeated order keep its deadline, which is the fault; they demand now that it grants and acknowledges nothing, and that it does not wait, as before.

--- a/crates/host/tests/host/forwarding.rs
+++ b/crates/host/tests/host/forwarding.rs
@@ -58,12 +58,22 @@
         failure_domain: format!("d{}", upstream % 2).into(),
         epoch: EPOCH,
         fence: EPOCH,
-        ack_number: 0,
+        ack_number: 57,
         deadline_ms: Some(9000),
         wait_ms: 1000,
     }
 }
 
+/// Returns a renewal that asks for the list of runs at once, and grants and acknowledges nothing.
+fn question(upstream: usize) -> RenewOrder {
+    RenewOrder {
+        ack_number: 0,
+        deadline_ms: None,
+        wait_ms: 0,
+        ..order(upstream)
+    }
+}
+
 fn receipt(now: u64) -> BatchReceipt {
     BatchReceipt {
         instance: INSTANCE,
@@ -188,11 +198,9 @@
     let late = forwarder.on_report(START_MS + 300, report(&batches[..1], &answer()));
 
     assert_eq!(retries.len(), UPSTREAM_COUNT / 2);
-    assert!(
-        retries
-            .iter()
-            .all(|order| order.wait_ms == 0 && order.deadline_ms == Some(9000))
-    );
+    let asks_only =
+        |retry: &RenewOrder| (retry.ack_number, retry.deadline_ms, retry.wait_ms) == (0, None, 0);
+    assert!(retries.iter().all(asks_only));
     assert_eq!(late, Vec::new());
     assert_eq!(
         forwarder.take_lost_delegates(),
@@ -237,16 +245,51 @@
     let next = forwarder.enqueue(START_MS + 1400, order(0));
 
     assert_eq!(settled, Vec::new());
-    assert_eq!(
-        retries,
-        [RenewOrder {
-            wait_ms: 0,
-            ..order(0)
-        }]
-    );
+    assert_eq!(retries, [question(0)]);
     assert_eq!(next, Some(order(0)));
 }
 
+/// Guards against an upstream that starts again while its renewal is with a delegate, and gets a lease
+/// on the clock of its former incarnation, or forgets finished runs that nobody has seen.
+#[test]
+fn repeated_renewal_grants_and_acknowledges_nothing() {
+    let dropped = DelegatedOutcome::Dropped;
+    let failed = DelegatedOutcome::Sent(RenewOutcome::Failed);
+    let not_accepted = BatchReceipt {
+        accepted: false,
+        ..receipt(START_MS + 20)
+    };
+    let retries_after = |lose: &dyn Fn(&mut RenewalForwarder, &BatchOrder, u64)| {
+        let mut forwarder = ready_forwarder();
+        forwarder.enqueue(START_MS, order(0));
+        let batch = forwarder.take_batches(START_MS + 10, VALID_UNTIL).remove(0);
+        lose(&mut forwarder, &batch, batch.batch.renewals[0].number);
+        forwarder.take_retries()
+    };
+
+    let without_receipt = retries_after(&|forwarder, batch, number| {
+        forwarder.on_receipt(START_MS + 260, &batch.delegate, &[number], None);
+    });
+    let without_outcome =
+        retries_after(&|forwarder, _, _| forwarder.check_overdue(START_MS + 1800));
+    let after_refusal = retries_after(&|forwarder, batch, number| {
+        let receipt = Some(not_accepted);
+        forwarder.on_receipt(START_MS + 20, &batch.delegate, &[number], receipt);
+    });
+    let after_drop = retries_after(&|forwarder, batch, _| {
+        forwarder.on_report(START_MS + 20, report(std::slice::from_ref(batch), &dropped));
+    });
+    let after_failure = retries_after(&|forwarder, batch, _| {
+        forwarder.on_report(START_MS + 20, report(std::slice::from_ref(batch), &failed));
+    });
+
+    assert_eq!(without_receipt, [question(0)], "no receipt");
+    assert_eq!(without_outcome, [question(0)], "no outcome");
+    assert_eq!(after_refusal, [question(0)], "batch not accepted");
+    assert_eq!(after_drop, [question(0)], "dropped");
+    assert_eq!(after_failure, [question(0)], "no answer");
+}
+
 /// A list counts as requested when the owner handed the renewal over, which is before the delegate
 /// requested it.
 #[test]
