Let the owner judge rejections of forwarded renewals

A delegate took each rejected renewal as proof of a later owner: it recorded the epoch and refused all further batches of that owner. Orders now carry a fencing token that the owner may raise for one upstream. An earlier renewal to that upstream which comes late, with the epoch or a lower token, is then rejected although no other owner exists, and the delegate refused a sound owner until its process ended: each renewal through it cost a wasted batch and a repeat.

The delegate can't tell the two apart, not even if the rejected token is the epoch itself, since the owner may have raised it in the meantime, past this delegate. So it records nothing, and reports the rejection as before; the owner knows its tokens and steps down or asks again. The record is not needed for safety: an upstream rejects outdated orders itself; a batch expires, on the delegate's clock, with the owner's time to act, so that a delegate sends nothing that the owner could not have sent; and the store's owner and batches of later owners still rule out lower epochs. If the report is lost, the owner sends the renewal itself and is rejected itself.

The assertion that a rejected epoch is refused demanded the fault and is gone.

--- a/crates/host/src/forward/delegate_gate.rs
+++ b/crates/host/src/forward/delegate_gate.rs
@@ -9,8 +9,6 @@
     instance: u64,
     /// Highest epoch of an accepted batch.
     newest_epoch: u64,
-    /// Highest epoch that an upstream has rejected.
-    rejected_epoch: u64,
 }
 
 impl DelegateGate {
@@ -20,7 +18,6 @@
         Self {
             instance,
             newest_epoch: 0,
-            rejected_epoch: 0,
         }
     }
 
@@ -41,17 +38,10 @@
         admitted
     }
 
-    /// Returns whether a renewal may be sent at `now`.
+    /// Returns whether a renewal may be sent at `now`. That an upstream has rejected another one of the
+    /// epoch does not matter: the token that it had seen may be a later one of the same owner.
     #[must_use]
     pub fn may_send(&self, now: u64, known_epoch: u64, epoch: u64, expires_at: u64) -> bool {
-        now < expires_at
-            && epoch >= known_epoch
-            && epoch >= self.newest_epoch
-            && epoch > self.rejected_epoch
-    }
-
-    /// Records that an upstream has rejected an epoch, because another owner has used a higher one.
-    pub fn record_rejection(&mut self, epoch: u64) {
-        self.rejected_epoch = self.rejected_epoch.max(epoch);
+        now < expires_at && epoch >= known_epoch && epoch >= self.newest_epoch
     }
 }
--- a/crates/host/src/forward/renewal_delegate.rs
+++ b/crates/host/src/forward/renewal_delegate.rs
@@ -81,9 +81,6 @@
         } else {
             DelegatedOutcome::Dropped
         };
-        if outcome == DelegatedOutcome::Sent(RenewOutcome::Fenced) {
-            lock(&self.gate).record_rejection(epoch);
-        }
         let gather_ms = match &outcome {
             DelegatedOutcome::Sent(RenewOutcome::Answered(reply)) if reply.finished.is_empty() => {
                 GATHER_MS
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -17,6 +17,7 @@
 mod notices;
 mod owners;
 mod peer_messages;
+mod rejected_tokens;
 mod relay;
 mod repeated_submissions;
 mod revisions;
