Reproduce tasks that run twice after an upstream has restarted

Callers saw a task with two runs side by side, or done twice, after its upstream had restarted under its identifier. Eleven tests show this in simulated time. They assert that no task runs on two upstreams or again after it is done, that no finished run is forgotten unseen, and that the tasks do run elsewhere in the end. All fail on the present code:

- renewal_after_restart: "s1.0.0.0 runs on u0 and u1 at 20050"
- start_repeated_after_restart: "s1.0.0.0 runs on u0 and u1 at 19800"
- start_rejected_after_restart (for its ticket): "s1.0.0.0 runs on u0 and u1 at 21400"
- successor_waits_for_leases: "s1.0.0.0 runs on u0 and u1 at 22365"
- late_renewal_after_restart_extends_no_lease: "s1.0.0.0 runs on u0 and u1 at 25870"
- second_restart: "s2.0.0.0 runs on u0 and u1 at 21300"
- restart_beside_an_outage_of_the_store: "s1.0.0.0 runs on u0 and u1 at 21770"
- next_renewal_after_restart_forgets: "s2.0.0.0 ended as Done on u0, forgotten unseen at 14615", "s2.0.0.0 started after it was done"
- late_renewal_after_restart_forgets: the same at 16165
- late_start_after_restart, beside another run: "s1.0.0.0 runs on u0 and u1 at 16555"; again: "s1.0.0.0 ran after it was done"

The simulation can intercept one order to an upstream, which gets no reply and is executed when the test says so.

--- /dev/null
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -0,0 +1,337 @@
+//! Upstreams that restart under their identifiers, and orders meant for their former incarnations.
+
+use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec, SubmissionState, TaskName};
+use lagoonnotch_model::SimulatedUpstream;
+
+use crate::fixtures::{config, queue, step, submission, ticketed_queue};
+use crate::late_orders::OrderKind;
+use crate::simulation::FleetSimulation;
+
+/// Time from the loss of an owner until its successor has recovered, in milliseconds.
+const TAKEOVER_MS: u64 = 1900;
+
+/// Duration of a long task, in milliseconds.
+const LONG_RUN_MS: u64 = 60_000;
+
+/// Time within which tasks run again after a restart or a loss, in milliseconds.
+const RESTART_LIMIT_MS: u64 = 16_000;
+
+/// Returns a fleet with one upstream, `u0`, whose clock is slow and which has answered the owner.
+fn fleet_of_one(policy: &QueuePolicy) -> FleetSimulation {
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    slow_down_clock(&mut simulation);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1600);
+    simulation
+}
+
+/// Returns a queue that retries tasks often, so that crashes of their upstreams fail no submission.
+fn patient_queue() -> QueuePolicy {
+    QueuePolicy {
+        max_attempts: 9,
+        ..queue("ledger", 2)
+    }
+}
+
+/// Returns a step of one task that takes a minute.
+fn long_step() -> StepSpec {
+    StepSpec {
+        estimate_ms: LONG_RUN_MS,
+        ..step(1)
+    }
+}
+
+/// Returns a fleet with one upstream, `u0`, that runs a long task.
+fn fleet_with_long_task(policy: &QueuePolicy) -> FleetSimulation {
+    let mut simulation = fleet_of_one(policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+    simulation.submit(&submission("s1", policy, vec![long_step()]));
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+    simulation.run_until(simulation.now + 1000);
+    simulation
+}
+
+fn slow_down_clock(simulation: &mut FleetSimulation) {
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.clock_speed_per_mille = 980;
+    }
+}
+
+/// Lets the fleet run until a condition holds.
+fn wait_for(simulation: &mut FleetSimulation, condition: impl Fn(&FleetSimulation) -> bool) {
+    let end = simulation.now + RESTART_LIMIT_MS;
+    while !condition(simulation) {
+        assert!(simulation.now < end, "the condition does not hold in time");
+        simulation.run_until(simulation.now + 5);
+    }
+}
+
+fn run_count(simulation: &FleetSimulation, id: &str) -> usize {
+    simulation.upstreams[id].runs.len()
+}
+
+/// Adds `u1`, another upstream without runs.
+fn add_spare_upstream(simulation: &mut FleetSimulation) {
+    let spare = SimulatedUpstream::new("u1", 1, 1000);
+    simulation.upstreams.insert("u1".into(), spare);
+}
+
+/// Cuts `u0`, which runs on, off for good.
+fn cut_off(simulation: &mut FleetSimulation) {
+    simulation.partitioned.insert("u0".into(), u64::MAX);
+    let now = simulation.now;
+    simulation.cut_off_from_store.insert("u0".into(), now);
+}
+
+/// Restarts `u0` while an order is on its way there that gets no reply.
+fn restart_during(simulation: &mut FleetSimulation, kind: OrderKind) {
+    simulation.intercept_next("u0", kind);
+    wait_for(simulation, |simulation| simulation.to_intercept.is_empty());
+    simulation.restart_upstream("u0");
+}
+
+/// Hides the new incarnation from the directory, which shows it only after its first report.
+fn hide_restart(simulation: &mut FleetSimulation) {
+    simulation.directory_unreadable_until = simulation.now + 1400;
+}
+
+/// Cuts `u0` off and checks that its tasks run on another upstream, but not before they have ended.
+fn assert_tasks_move_after_cut(simulation: &mut FleetSimulation) {
+    cut_off(simulation);
+    add_spare_upstream(simulation);
+    let tasks = tasks_on(simulation, "u0");
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(tasks_on(simulation, "u1"), tasks);
+}
+
+fn tasks_on(simulation: &FleetSimulation, id: &str) -> Vec<TaskName> {
+    simulation.upstreams[id].runs.keys().cloned().collect()
+}
+
+/// Loses the owner, which does not confirm that it stepped down, and lets another host take over.
+fn replace_lost_owner(simulation: &mut FleetSimulation) {
+    simulation.owner = None;
+    simulation.predecessor_lost = true;
+    simulation.run_until(simulation.now + TAKEOVER_MS);
+    simulation.take_over();
+}
+
+/// Guards against a longer lease than the owner counts: a renewal with the former incarnation's clock
+/// reaches the new one.
+#[test]
+fn renewal_after_restart_extends_no_lease_beyond_the_bound() {
+    let mut simulation = fleet_with_long_task(&patient_queue());
+
+    restart_during(&mut simulation, OrderKind::Renewal);
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
+
+/// Guards against the same for a start order that is repeated because it got no reply.
+#[test]
+fn start_repeated_after_restart_extends_no_lease_beyond_the_bound() {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+
+    hide_restart(&mut simulation);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+    restart_during(&mut simulation, OrderKind::Start);
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
+
+/// Guards against the same for a start order that is rejected: its deadline counts all the same.
+#[test]
+fn start_rejected_after_restart_extends_no_lease_beyond_the_bound() {
+    let policy = ticketed_queue("ledger", 2);
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+
+    hide_restart(&mut simulation);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+    restart_during(&mut simulation, OrderKind::Start);
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
+
+/// Guards against a successor whose bound does not cover the leases of the new incarnation.
+#[test]
+fn successor_waits_for_leases_that_were_extended_after_a_restart() {
+    let mut simulation = fleet_with_long_task(&patient_queue());
+
+    restart_during(&mut simulation, OrderKind::Renewal);
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+    cut_off(&mut simulation);
+    add_spare_upstream(&mut simulation);
+    replace_lost_owner(&mut simulation);
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(run_count(&simulation, "u1"), 1);
+}
+
+/// Guards against finished runs of the new incarnation that are forgotten by the number that the owner
+/// has acknowledged to the former one.
+#[test]
+fn next_renewal_after_restart_forgets_no_finished_run() {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(150);
+    simulation.submit(&submission("s1", &policy, vec![step(3)]));
+    simulation.run_until(simulation.now + 1000);
+
+    hide_restart(&mut simulation);
+    restart_during(&mut simulation, OrderKind::Renewal);
+    simulation.submit(&submission("s2", &policy, vec![step(1)]));
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.state_of("s2"), Some(SubmissionState::Completed));
+}
+
+/// Guards against the same by a renewal that is executed seconds late.
+#[test]
+fn late_renewal_after_restart_forgets_no_finished_run() {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(150);
+    simulation.submit(&submission("s1", &policy, vec![step(3)]));
+
+    restart_during(&mut simulation, OrderKind::Acknowledgement);
+    simulation.run_until(simulation.now + 4000);
+    simulation.submit(&submission("s2", &policy, vec![step(1)]));
+    wait_for(&mut simulation, |simulation| {
+        !simulation.upstreams["u0"].finished.is_empty()
+    });
+    simulation.execute_intercepted();
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.state_of("s2"), Some(SubmissionState::Completed));
+}
+
+/// Guards against a longer lease than the owner counts: a renewal for the former incarnation is
+/// executed after the new one has answered.
+#[test]
+fn late_renewal_after_restart_extends_no_lease_beyond_the_bound() {
+    let mut simulation = fleet_with_long_task(&patient_queue());
+
+    restart_during(&mut simulation, OrderKind::Renewal);
+    simulation.run_until(simulation.now + 7000);
+    let tasks = run_count(&simulation, "u0");
+    simulation.execute_intercepted();
+
+    assert_eq!(tasks, 1);
+    assert_tasks_move_after_cut(&mut simulation);
+}
+
+/// Starts a task on `u0` by an order that is executed late, restarts `u0`, and lets the task start on
+/// `u1`.
+fn fleet_with_late_start(run_ms: u64) -> FleetSimulation {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+    simulation.intercept_next("u0", OrderKind::Start);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+    simulation.run_until(simulation.now + 1000);
+
+    add_spare_upstream(&mut simulation);
+    simulation.run_until(simulation.now + 1000);
+    simulation.run_ms = Some(run_ms);
+    simulation.restart_upstream("u0");
+    let restarted = simulation.upstreams.get_mut("u0");
+    restarted.expect("the upstream exists").capacity = ResourceSize::ZERO;
+    wait_for(&mut simulation, |simulation| {
+        !simulation.restarts.is_empty() && run_count(simulation, "u1") == 1
+    });
+    simulation
+}
+
+/// Guards against a start for the former incarnation that the new one executes while the task runs
+/// elsewhere.
+#[test]
+fn late_start_after_restart_runs_no_task_beside_another_run() {
+    let mut simulation = fleet_with_late_start(60_000);
+
+    simulation.run_until(simulation.now + 2000);
+    simulation.execute_intercepted();
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(run_count(&simulation, "u1"), 1);
+}
+
+/// Guards against the same after the task is done.
+#[test]
+fn late_start_after_restart_runs_no_task_again() {
+    let mut simulation = fleet_with_late_start(500);
+
+    simulation.run_until(simulation.now + 3000);
+    let state = simulation.state_of("s1");
+    simulation.execute_intercepted();
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(state, Some(SubmissionState::Completed));
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
+/// Guards against a bound that holds for the first restart alone.
+#[test]
+fn second_restart_extends_no_lease_beyond_the_bound() {
+    let policy = patient_queue();
+    for pause_ms in [100, 600, 1200, 2000, 3000] {
+        let mut simulation = fleet_with_long_task(&policy);
+
+        restart_during(&mut simulation, OrderKind::Renewal);
+        simulation.run_until(simulation.now + pause_ms);
+        restart_during(&mut simulation, OrderKind::Renewal);
+        simulation.cancel("s1");
+        simulation.submit(&submission("s2", &policy, vec![long_step()]));
+        wait_for(&mut simulation, |simulation| {
+            run_count(simulation, "u0") == 1
+        });
+
+        assert_tasks_move_after_cut(&mut simulation);
+    }
+}
+
+/// Guards against tasks that run twice because the restart and the new bound cannot be stored.
+#[test]
+fn restart_beside_an_outage_of_the_store_extends_no_lease_beyond_the_bound() {
+    for outage_ms in [1500, 3000, 5000] {
+        let mut simulation = fleet_with_long_task(&patient_queue());
+        simulation.store_unavailable = true;
+        simulation.run_until(simulation.now + 500);
+
+        restart_during(&mut simulation, OrderKind::Renewal);
+        simulation.run_until(simulation.now + outage_ms);
+        simulation.store_unavailable = false;
+        wait_for(&mut simulation, |simulation| {
+            run_count(simulation, "u0") == 1
+        });
+
+        assert_tasks_move_after_cut(&mut simulation);
+    }
+}
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -16,6 +16,7 @@
 
 use crate::fixtures::{directory_read, report};
 use crate::invariant_checks::FinishedRunKey;
+use crate::late_orders::OrderKind;
 use lagoonnotch_model::SimulatedUpstream;
 
 /// Interval between two ticks of the owner, in milliseconds.
@@ -27,9 +28,6 @@
 /// Time after which a crashed upstream is back, in milliseconds.
 const DOWNTIME_MS: u64 = 3000;
 
-/// Shortest delay of an order that is executed late, in milliseconds.
-const SHORTEST_DELAY_MS: u64 = 2000;
-
 /// Deterministic random source.
 #[derive(Clone, Debug)]
 pub struct RandomSource(pub u64);
@@ -52,7 +50,7 @@
 
 /// The reading of an upstream's clock in its reply to a start or stop order.
 #[derive(Clone, Copy, Debug)]
-struct ReplyClock {
+pub(crate) struct ReplyClock {
     /// Time at which the order was sent.
     sent_at: u64,
     clock_ms: u64,
@@ -60,7 +58,7 @@
 
 /// A message in transit.
 #[derive(Clone, Debug)]
-enum Message {
+pub(crate) enum Message {
     /// A start order, the time at which it was sent, the invariants that a run would violate that
     /// an upstream begins on it, and whether it is executed seconds late and not replied to.
     Start(StartOrder, u64, Vec<String>, bool),
@@ -120,6 +118,10 @@
     /// Bound on the leases of the previous owner for which a new one waits, in milliseconds; `None` if
     /// it does not bound them.
     pub previous_lease_bound_ms: Option<u64>,
+    /// Upstreams whose next order of a kind is intercepted.
+    pub(crate) to_intercept: Vec<(Arc<str>, OrderKind)>,
+    /// Orders that got no reply and are executed when the test says so.
+    pub(crate) intercepted: Vec<Message>,
     /// Time at which the store last showed that an owner owned the fleet.
     confirmed_at: u64,
     pub upstreams: BTreeMap<Arc<str>, SimulatedUpstream>,
@@ -220,6 +222,8 @@
             previous: None,
             predecessor_lost: false,
             cut_off_with_previous: BTreeSet::new(),
+            to_intercept: Vec::new(),
+            intercepted: Vec::new(),
             previous_lease_bound_ms: Some(OwnerSettings::default().lease_bound_ms),
             confirmed_at: 0,
             upstreams,
@@ -498,7 +502,7 @@
     }
 
     /// Sends a message that is delivered after a delay of `delay` to `delay + 3` milliseconds.
-    fn push(&mut self, delay: u64, message: Message) {
+    pub(crate) fn push(&mut self, delay: u64, message: Message) {
         let jitter = self.random.below(4);
         self.sequence += 1;
         self.in_transit
@@ -516,7 +520,7 @@
     }
 
     /// Returns whether no message of the owner of an epoch reaches an upstream.
-    fn is_partitioned(&self, id: &Arc<str>, epoch: u64) -> bool {
+    pub(crate) fn is_partitioned(&self, id: &Arc<str>, epoch: u64) -> bool {
         let is_cut_off = self.cut_off_with_previous.contains(id);
         let is_current = epoch == self.epoch;
         let cut_off = !self.cut_off_with_previous.is_empty() && is_cut_off == is_current;
@@ -524,7 +528,7 @@
         cut_off || partitioned_until.is_some_and(|until| self.now < *until)
     }
 
-    fn deliver(&mut self, message: Message) {
+    pub(crate) fn deliver(&mut self, message: Message) {
         match message {
             Message::Start(order, sent_at, violations, late) => {
                 self.deliver_start(order, sent_at, violations, late);
@@ -648,18 +652,6 @@
         Some((now, owner))
     }
 
-    /// Delays a renewal or a stop order at random, to be executed by the incarnation that lives then.
-    fn delay_order(&mut self, id: &Arc<str>, epoch: u64, late: Message) -> bool {
-        let delayed = self.faults.late_renewals > 0
-            && !self.is_partitioned(id, epoch)
-            && self.random.chance(self.faults.late_renewals);
-        if delayed {
-            let delay = self.draw_delay();
-            self.push(delay, late);
-        }
-        delayed
-    }
-
     /// Returns the reading that an upstream's reply to an order carries now.
     fn reply_clock(&self, id: &Arc<str>, sent_at: u64) -> Option<ReplyClock> {
         let clock_ms = self.upstreams.get(id)?.clock_ms(self.now);
@@ -674,18 +666,6 @@
         }
     }
 
-    fn draw_delay(&mut self) -> u64 {
-        let range = self.longest_delay_ms - SHORTEST_DELAY_MS;
-        SHORTEST_DELAY_MS + self.random.below(range)
-    }
-
-    /// Has an upstream execute a renewal; returns `None` if there is none of that name.
-    fn execute_renewal(&mut self, order: &RenewOrder) -> Option<Result<RenewReply, ()>> {
-        self.check_forgotten(order);
-        let upstream = self.upstreams.get_mut(&order.upstream)?;
-        Some(upstream.renew_and_report(self.now, order).ok_or(()))
-    }
-
     fn deliver_start(
         &mut self,
         order: StartOrder,
@@ -698,6 +678,13 @@
             self.push(800, Message::Started(order, no_reply, None));
             return;
         }
+        let is_intercepted = !late && self.intercepts(&order.upstream, OrderKind::Start);
+        if is_intercepted {
+            let late_start = Message::Start(order.clone(), sent_at, violations, true);
+            self.intercepted.push(late_start);
+            self.push(800, Message::Started(order, no_reply, None));
+            return;
+        }
         if self.random.chance(self.faults.late_orders) {
             let later = self.draw_delay();
             self.push(800, Message::Started(order.clone(), no_reply, None));
