Play random histories of upstreams that restart

Callers saw tasks run twice after upstreams had restarted under their identifiers, beside other faults. The random tests drew few restarts, no late renewals, and no cut soon after a restart, which is what the reports have in common.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod recorded_histories;
 mod recovery;
+mod restart_histories;
 mod restarted_upstreams;
 mod scheduling;
 mod simulation;
