Report finished runs as missing only if their numbers are known

It now reports a gap only after a number that it has seen itself, or at the first list of a new incarnation, whose numbers start at 1.

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -61,11 +61,12 @@
         let fell_at = entry.silent_since.take().unwrap_or(now);
         let victims = entry.take_crash_victims(reply);
         let has_list = entry.run_list_incarnation.is_some();
+        let knows_numbers = has_list && (restarted || entry.last_finished_number > 0);
         if restarted {
             self.report_restart(now, upstream, reply);
             self.reset_incarnation(upstream);
         }
-        if has_list {
+        if knows_numbers {
             self.report_missing_finished(upstream, reply);
         }
         let Some(entry) = self.upstreams.get_mut(upstream) else {
