Reproduce leases of starts that a new incarnation executes unnoticed

Callers would see a task twice without any repeated order: an upstream restarts, and the first start order that reaches the new incarnation carries a deadline by the former one's clock, so that its lease lasts for the upstream's maximum. The owner has had no reason for doubt when it sends that order, so that asking before the next order does not help; the run itself outlasts the bound.

--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -335,3 +335,107 @@
         assert_tasks_move_after_cut(&mut simulation);
     }
 }
+
+/// Restarts `u0` unnoticed, and has the new incarnation execute the first start order of a task.
+fn fleet_with_start_after_restart(answered: bool) -> FleetSimulation {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+    hide_restart(&mut simulation);
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+    if answered {
+        simulation.restart_upstream("u0");
+    } else {
+        restart_during(&mut simulation, OrderKind::Start);
+        simulation.execute_intercepted();
+    }
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+    simulation
+}
+
+/// Guards against counting a lease by the former incarnation's clock although the answer to the start
+/// shows the new one's.
+#[test]
+fn start_answered_by_new_incarnation_extends_no_lease_beyond_the_bound() {
+    let mut simulation = fleet_with_start_after_restart(true);
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
+
+/// Guards against the same if the start gets no reply.
+#[test]
+fn start_without_reply_after_restart_extends_no_lease_beyond_the_bound() {
+    let mut simulation = fleet_with_start_after_restart(false);
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
+
+/// Guards against the same for a successor.
+#[test]
+fn successor_waits_for_leases_of_starts_that_a_new_incarnation_executed() {
+    for answered in [true, false] {
+        let mut simulation = fleet_with_start_after_restart(answered);
+
+        cut_off(&mut simulation);
+        add_spare_upstream(&mut simulation);
+        simulation.run_until(simulation.now + 50);
+        replace_lost_owner(&mut simulation);
+        simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+        assert_eq!(simulation.violations, Vec::<String>::new(), "{answered}");
+        assert_eq!(run_count(&simulation, "u1"), 1, "{answered}");
+    }
+}
+
+/// Guards against a start for the former incarnation that the new one executes before it has answered
+/// any order, while the task runs elsewhere.
+#[test]
+fn late_start_before_the_first_answer_runs_no_task_beside_another_run() {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+
+    restart_during(&mut simulation, OrderKind::Start);
+    cut_off(&mut simulation);
+    add_spare_upstream(&mut simulation);
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u1") == 1
+    });
+    simulation.partitioned.clear();
+    simulation.execute_intercepted();
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(run_count(&simulation, "u1"), 1);
+}
+
+/// Guards against fencing tokens that do not tell two restarts apart because nothing is stored between
+/// them.
+#[test]
+fn late_renewal_between_restarts_in_an_outage_extends_no_lease_beyond_the_bound() {
+    let mut simulation = fleet_with_long_task(&patient_queue());
+
+    simulation.restart_upstream("u0");
+    wait_for(&mut simulation, |simulation| {
+        simulation.restarts.len() == 1 && run_count(simulation, "u0") == 1
+    });
+    simulation.run_until(simulation.now + 12_000);
+    simulation.store_unavailable = true;
+    simulation.run_until(simulation.now + 500);
+    restart_during(&mut simulation, OrderKind::Renewal);
+    wait_for(&mut simulation, |simulation| simulation.restarts.len() == 2);
+    simulation.store_unavailable = false;
+    simulation.cancel("s1");
+    simulation.submit(&submission("s2", &patient_queue(), vec![long_step()]));
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+    simulation.run_until(simulation.now + 2000);
+    simulation.execute_intercepted();
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
