Log the finished runs of an upstream that counts anew

An upstream that starts again under its identifier numbers its finished runs from 1 again. Which of them were logged was told by the last number of the incarnation before, so that as many ends of the new one were missing in the log (event 1062), and in what `explain` shows of their requests.

The log keeps the last number with the incarnation it belongs to. Evidence: finished_runs_of_another_incarnation_are_logged fails if the incarnation is ignored, as it was.

--- a/crates/host/src/control/active_ownership.rs
+++ b/crates/host/src/control/active_ownership.rs
@@ -3,6 +3,7 @@
 use lagoonnotch_fleet::owner::OwnerMachine;
 use serde_json::json;
 
+use crate::control::FinishedRunLog;
 use crate::event::FleetEvent;
 
 /// Age up to which accepted submissions may be unknown to an owner whose counts are reported, in
@@ -12,6 +13,8 @@
 /// State of this host's ownership.
 pub(super) struct ActiveOwnership {
     pub machine: OwnerMachine,
+    /// Finished runs that were logged.
+    pub finished_runs: FinishedRunLog,
     /// Until when the host may act as owner, in milliseconds of its clock.
     pub valid_until: u64,
     /// Whether the last tick found that the ownership may have expired.
--- a/crates/host/src/control/control_actor.rs
+++ b/crates/host/src/control/control_actor.rs
@@ -18,7 +18,7 @@
 use crate::control::effect_runner::{
     EffectRunner, log_advice_load, log_final_states, log_finished_runs,
 };
-use crate::control::{ControlHandle, HostView, WaitingCounts};
+use crate::control::{ControlHandle, FinishedRunLog, HostView, WaitingCounts};
 use crate::event::FleetEvent;
 use crate::forward::{RenewalForwarder, SettledRenewal};
 use crate::metrics::{FleetMetrics, WorkKind, measure, record_inbox_delay};
@@ -255,6 +255,7 @@
         self.view.set_owned_epoch(Some(grant.epoch));
         self.ownership = Some(ActiveOwnership {
             machine,
+            finished_runs: FinishedRunLog::default(),
             valid_until: grant.valid_until,
             suspended: false,
             counted_at: 0,
@@ -332,7 +333,7 @@
                     handed_over_at: sent_at,
                     outcome,
                 };
-                apply_renewal(machine, now, renewal);
+                apply_renewal(ownership, now, renewal);
             }
             ControlInput::RenewalsForwarded(batch) if batch.epoch == epoch => {
                 let (delegate, renewals) = (&batch.delegate, &batch.renewals);
@@ -341,7 +342,7 @@
             }
             ControlInput::RenewalsReported(report) => {
                 for renewal in self.forwarder.on_report(now, report) {
-                    apply_renewal(machine, now, renewal);
+                    apply_renewal(ownership, now, renewal);
                 }
             }
             ControlInput::StartFinished(order, sent_at, answer) if order.epoch == epoch => {
@@ -386,12 +387,11 @@
 }
 
 /// Applies the outcome of a renewal.
-fn apply_renewal(machine: &mut OwnerMachine, now: u64, renewal: SettledRenewal) {
-    let order = renewal.order;
+fn apply_renewal(ownership: &mut ActiveOwnership, now: u64, renewal: SettledRenewal) {
+    let (order, machine) = (renewal.order, &mut ownership.machine);
     match renewal.outcome {
         RenewOutcome::Answered(reply) => {
-            let last_number = machine.last_finished_number(&order.upstream);
-            log_finished_runs(&order.upstream, last_number, &reply);
+            log_finished_runs(&mut ownership.finished_runs, &order.upstream, &reply);
             machine.on_renewed(now, renewal.handed_over_at, &order.upstream, &reply);
         }
         RenewOutcome::Fenced => machine.on_renewal_fenced(now, &order.upstream, order.fence),
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::now_ms;
 use crate::control::control_actor::PeerEntry;
-use crate::control::{ControlHandle, ControlInput, ForwardedBatch};
+use crate::control::{ControlHandle, ControlInput, FinishedRunLog, ForwardedBatch};
 use crate::event::FleetEvent;
 use crate::forward::BatchOrder;
 use crate::metrics::{FleetMetrics, WorkKind, measured, timer_delay_ms};
@@ -360,12 +360,8 @@
 }
 
 /// Logs the finished runs that an upstream lists for the first time.
-pub(super) fn log_finished_runs(upstream: &Arc<str>, last_seen_number: u64, reply: &RenewReply) {
-    for run in reply
-        .finished
-        .iter()
-        .filter(|run| run.number > last_seen_number)
-    {
+pub(super) fn log_finished_runs(log: &mut FinishedRunLog, upstream: &Arc<str>, reply: &RenewReply) {
+    for run in log.take_new(upstream, reply) {
         FleetEvent::RunEnded.emit(json!({
             "request": run.task.split('.').next(),
             "task": run.task,
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -5,10 +5,12 @@
 mod control_handle;
 mod control_messages;
 mod effect_runner;
+mod finished_run_log;
 mod host_view;
 mod order_routing;
 
 pub use control_actor::ControlActor;
 pub use control_handle::ControlHandle;
 pub use control_messages::{AcceptedSubmission, ControlInput, ForwardedBatch, OwnershipGrant};
+pub use finished_run_log::FinishedRunLog;
 pub use host_view::{HostView, MAX_REPORTED_COUNT_AGE_MS, OwnerInfo, WaitingCount, WaitingCounts};
--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod explain;
 mod fake_store;
+mod finished_runs;
 mod fixtures;
 mod forwarding;
 mod held_runs;
