Don't take the departure of an incarnation for that of a later one

A new owner releases the runs of an upstream whose directory entry was deleted soon after a report that it drains. The upstream may have started again under its identifier since: until it has reported, the history still ends with the departure of the incarnation before. Runs that the roster has for the new one, orders that came late, say, were released without waiting for their leases, and their tasks could run twice.

The report must be from the incarnation in the roster or a later one. Evidence: departure_of_an_earlier_incarnation_is_none_of_a_later_one fails without the condition.

--- a/crates/host/src/ownership/departures.rs
+++ b/crates/host/src/ownership/departures.rs
@@ -53,16 +53,16 @@
         };
         let listed = directory.reports.iter().map(|report| &report.id);
         let listed: HashSet<_> = listed.chain(&directory.unreadable).collect();
-        let missing = roster.iter().map(|entry| &entry.id);
-        let missing = missing.filter(|id| !listed.contains(id));
-        let missing: Vec<_> = missing.take(MAX_HISTORIES).cloned().collect();
+        let missing = roster.iter().filter(|entry| !listed.contains(&entry.id));
+        let missing = missing.map(|entry| (entry.id.clone(), entry.incarnation_unix_ms));
+        let missing: Vec<_> = missing.take(MAX_HISTORIES).collect();
         if missing.is_empty() {
             return Vec::new();
         }
         self.ask_peers().await;
         let mut departed = Vec::new();
         let searches = stream::iter(missing)
-            .map(|id| self.read_departure(id, after))
+            .map(|(id, incarnation_unix_ms)| self.read_departure(id, incarnation_unix_ms, after))
             .buffer_unordered(PARALLEL_HISTORIES)
             .for_each(|found| {
                 departed.extend(found);
@@ -88,7 +88,12 @@
         let _ = timeout(PEERS_TIMEOUT, join_all(calls)).await;
     }
 
-    async fn read_departure(&self, id: Arc<str>, after: u64) -> Option<DepartedUpstream> {
+    async fn read_departure(
+        &self,
+        id: Arc<str>,
+        incarnation_unix_ms: u64,
+        after: u64,
+    ) -> Option<DepartedUpstream> {
         let key = format!("{}{id}", self.ports.directory_prefix);
         let request = WatchRequest {
             prefix: key.clone(),
@@ -100,6 +105,7 @@
         let max_report_age_ms = departure_report_age_ms(
             &history.items,
             &key,
+            incarnation_unix_ms,
             log,
             &self.ports.parse_report,
             self.report_interval_ms,
@@ -112,12 +118,16 @@
 }
 
 /// Returns the maximum age that the last report of an upstream had when its entry was deleted, if
-/// its history shows that it has left; `None` if the history shows nothing. Upstreams report every
-/// `report_interval_ms` milliseconds.
+/// its history shows that an incarnation, or a later one, has left; `None` if the history shows
+/// nothing. Upstreams report every `report_interval_ms` milliseconds.
+///
+/// A later incarnation may run before it has reported, so the departure of an earlier one says nothing
+/// about it.
 #[must_use]
 pub fn departure_report_age_ms(
     history: &[StoreItem],
     key: &str,
+    incarnation_unix_ms: u64,
     log: &RevisionLog,
     parse_report: &ReportParser,
     report_interval_ms: u64,
@@ -131,5 +141,8 @@
     let written_after = log.written_after(last_report.revision)?;
     let deleted_by = log.written_by(deletion.revision)?;
     let age_ms = deleted_by.saturating_sub(written_after);
-    (report.draining && age_ms < 2 * report_interval_ms).then_some(age_ms)
+    let has_left = report.draining
+        && report.incarnation_unix_ms >= incarnation_unix_ms
+        && age_ms < 2 * report_interval_ms;
+    has_left.then_some(age_ms)
 }
--- a/crates/host/tests/host/departures.rs
+++ b/crates/host/tests/host/departures.rs
@@ -10,6 +10,9 @@
 
 const KEY: &str = "directory/u0";
 
+/// Incarnation that all reports are from.
+const INCARNATION: u64 = 7000;
+
 const REPORT_INTERVAL_MS: u64 = 1500;
 
 /// Returns the write of a report at a revision; its value is `ready` or `draining`.
@@ -40,7 +43,7 @@
         };
         Ok(UpstreamReport {
             id: "u0".into(),
-            incarnation_unix_ms: 1,
+            incarnation_unix_ms: INCARNATION,
             pool: "harvest".into(),
             address: "u0".into(),
             failure_domain: "west".into(),
@@ -63,9 +66,15 @@
 }
 
 fn report_age_ms(history: &[StoreItem], deletion_seen_at: u64) -> Option<u64> {
+    age_for_runs_of(INCARNATION, history, deletion_seen_at)
+}
+
+/// Returns the same for an upstream whose runs were placed on an incarnation.
+fn age_for_runs_of(incarnation: u64, history: &[StoreItem], deletion_seen_at: u64) -> Option<u64> {
     departure_report_age_ms(
         history,
         KEY,
+        incarnation,
         &log(deletion_seen_at),
         &report_parser(),
         REPORT_INTERVAL_MS,
@@ -99,6 +108,19 @@
     assert_eq!(report_age_ms(&after_the_log, 3500), None);
 }
 
+/// Guards against releasing runs of an incarnation that has started since and has not reported yet: the
+/// one before has left, and its successor runs on.
+#[test]
+fn departure_of_an_earlier_incarnation_is_none_of_a_later_one() {
+    let history = [written(KEY, 10, "draining"), deleted(KEY, 15)];
+
+    let later = age_for_runs_of(INCARNATION + 1, &history, 3500);
+    let earlier = age_for_runs_of(INCARNATION - 1, &history, 3500);
+
+    assert_eq!(later, None);
+    assert_eq!(earlier, Some(2500));
+}
+
 /// Guards against releasing the runs of an upstream that has crashed, is back, or whose history is
 /// incomplete or that of another upstream.
 #[test]
@@ -140,7 +162,14 @@
     log.record(20, 5000);
 
     log.add_peer_requests(4500, &peer_log.recent_requests(72_000));
-    let age_ms = departure_report_age_ms(&history, KEY, &log, &report_parser(), REPORT_INTERVAL_MS);
+    let age_ms = departure_report_age_ms(
+        &history,
+        KEY,
+        INCARNATION,
+        &log,
+        &report_parser(),
+        REPORT_INTERVAL_MS,
+    );
 
     assert_eq!(age_ms, Some(2500));
 }
