Acknowledge finished runs only until they are forgotten

Callers saw a task done twice: every renewal carried the highest number that had ever been acknowledged. A renewal on its way while the upstream restarted was executed by the new incarnation, which took the number for its own and forgot a finished run that nobody had seen.

A renewal now names a number only while the upstream still lists runs up to it, which a reply tells. Renewals without anything new to acknowledge can wipe nothing, whichever incarnation gets them.

renewal_during_restart_forgets_no_finished_run failed before: "s2.0.0.0 ended as Done on u0, forgotten unseen at 15190", "s2.0.0.0 started after it was done".

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -73,6 +73,7 @@
             return;
         };
         entry.assumptions = SentAssumptions::default();
+        entry.confirm_ack(reply.finished.first().map(|finished| finished.number));
         entry.clock = Some(ClockReading {
             clock_ms: reply.clock_ms,
             received_at: now,
@@ -235,6 +236,7 @@
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.last_finished_number = 0;
             entry.ack_number = 0;
+            entry.confirmed_ack = 0;
             entry.uncommitted.clear();
             entry.unknown_runs = 0;
             entry.run_list_incarnation = None;
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -205,11 +205,7 @@
             entry.renewal_in_flight = true;
             entry.renewal_sent_at = now;
             entry.renewal_fence = entry.fence;
-            let ack_number = if entry.doubt.is_none() {
-                entry.ack_number
-            } else {
-                0
-            };
+            let ack_number = entry.due_ack();
             let assumptions = &mut entry.assumptions;
             assumptions.ack_number = assumptions.ack_number.max(ack_number);
             self.effects.push(OwnerEffect::Renew(RenewOrder {
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -201,6 +201,8 @@
     pub last_finished_number: u64,
     /// Highest number such that the changes of all finished runs up to it are stored.
     pub ack_number: u64,
+    /// Highest number of a finished run that the upstream has forgotten.
+    pub confirmed_ack: u64,
     /// Finished runs that are not stored yet: their number, and the sequence number of their
     /// change.
     pub uncommitted: VecDeque<(u64, u64)>,
@@ -271,6 +273,7 @@
             allocated: ResourceSize::ZERO,
             last_finished_number: 0,
             ack_number: 0,
+            confirmed_ack: 0,
             uncommitted: VecDeque::new(),
             renewal_in_flight: false,
             next_renewal_at: 0,
@@ -433,6 +436,23 @@
         self.runs.values().any(|run| run.urgent)
     }
 
+    /// Returns the number up to which the next renewal acknowledges finished runs; 0 for none. It names
+    /// none that are forgotten already, because another incarnation would take them for its own.
+    pub fn due_ack(&self) -> u64 {
+        if self.doubt.is_none() && self.ack_number > self.confirmed_ack {
+            self.ack_number
+        } else {
+            0
+        }
+    }
+
+    /// Records which finished runs the upstream has forgotten; `first_listed` is the number of the
+    /// first that it still lists.
+    pub fn confirm_ack(&mut self, first_listed: Option<u64>) {
+        let forgotten = first_listed.map_or(self.ack_number, |number| number.saturating_sub(1));
+        self.confirmed_ack = forgotten.min(self.ack_number);
+    }
+
     /// Advances the acknowledged number to the finished runs whose changes are stored.
     pub fn acknowledge(&mut self, stored_sequence: u64) {
         while let Some((number, sequence)) = self.uncommitted.front().copied() {
--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -229,6 +229,29 @@
     assert_eq!(simulation.state_of("s2"), Some(SubmissionState::Completed));
 }
 
+/// Guards against the same by a renewal that is on its way during the restart and has nothing new to
+/// acknowledge.
+#[test]
+fn renewal_during_restart_forgets_no_finished_run() {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(150);
+    simulation.submit(&submission("s1", &policy, vec![step(3)]));
+    simulation.run_until(simulation.now + 3000);
+
+    hide_restart(&mut simulation);
+    restart_during(&mut simulation, OrderKind::Renewal);
+    simulation.submit(&submission("s2", &policy, vec![step(1)]));
+    wait_for(&mut simulation, |simulation| {
+        !simulation.upstreams["u0"].finished.is_empty()
+    });
+    simulation.execute_intercepted();
+    simulation.run_until(simulation.now + RESTART_LIMIT_MS);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.state_of("s2"), Some(SubmissionState::Completed));
+}
+
 /// Guards against a longer lease than the owner counts: a renewal for the former incarnation is
 /// executed after the new one has answered.
 #[test]
