Allow ends without a stored change after the leases have expired

The check that the store has the change of each acknowledged end of a done task was wrong for one case.

An end that is acknowledged while the leases have lasted must still be stored, and every end must have been listed to an owner, whether the leases have expired or not.

--- a/crates/fleet/tests/fleet/invariant_checks.rs
+++ b/crates/fleet/tests/fleet/invariant_checks.rs
@@ -44,8 +44,8 @@
     }
 
     /// Checks the finished runs that an upstream forgets when it executes a renewal: an owner has
-    /// seen each of them in a reply, the store has its change, and no other run of a done task has
-    /// begun since it finished. The latter does not apply if the leases have expired in between.
+    /// seen each of them in a reply, the store has the change of each that was done, and no other run
+    /// of its task has begun since. Only the first applies if the leases have expired in between.
     pub(crate) fn check_forgotten(&mut self, order: &RenewOrder) {
         let Some(upstream) = self.upstreams.get_mut(&order.upstream) else {
             return;
@@ -72,11 +72,11 @@
             if finished.outcome != RunOutcome::Done || self.may_repeat(&name) {
                 continue;
             }
-            if !self.is_stored(&name, &finished) {
-                let unstored = format!("{text}, forgotten before it was stored");
-                self.violations.push(unstored);
-            }
             if number > lapsed {
+                if !self.is_stored(&name, &finished) {
+                    let unstored = format!("{text}, forgotten before it was stored");
+                    self.violations.push(unstored);
+                }
                 if self.repeated_done.contains(&key) {
                     let repeated = format!("{text}, and began again before that was acknowledged");
                     self.violations.push(repeated);
