Play restarts where no former start is the first order, and a lost owner's renewal

Two findings on the code with fenced incarnations and their bounded leases:

Seeds beyond 99 that have failed once are played too.

--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -84,4 +84,23 @@
         let upstream = self.upstreams.get_mut(&order.upstream)?;
         Some(upstream.renew_and_report(self.now, order).ok_or(()))
     }
+
+    /// Records that an upstream has executed a renewal, if it was sent in the lifetime of the present
+    /// incarnation.
+    pub(crate) fn record_contact(&mut self, id: &Arc<str>, sent_at: u64) {
+        if let Some(upstream) = self.upstreams.get(id)
+            && sent_at >= upstream.clock_started_at
+        {
+            self.contacted
+                .insert((id.clone(), upstream.incarnation_unix_ms));
+        }
+    }
+
+    /// Returns whether the present incarnation of an upstream has executed such a renewal.
+    pub(crate) fn is_contacted(&self, id: &Arc<str>) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| {
+            let key = (id.clone(), upstream.incarnation_unix_ms);
+            self.contacted.contains(&key)
+        })
+    }
 }
--- a/crates/fleet/tests/fleet/restart_histories.rs
+++ b/crates/fleet/tests/fleet/restart_histories.rs
@@ -17,6 +17,9 @@
 /// Number of histories, one for each seed from 0.
 const HISTORY_COUNT: u64 = 100;
 
+/// Further seeds whose histories once broke a promise.
+const RECORDED_SEEDS: [u64; 8] = [287, 336, 520, 538, 558, 718, 729, 3768];
+
 /// A random history in progress.
 struct RandomHistory {
     random: RandomSource,
@@ -120,12 +123,11 @@
     }
 }
 
-/// Guards against tasks that run twice or are lost after upstreams have restarted under their
-/// identifiers, beside late orders, partitions and takeovers.
-#[test]
-fn no_task_runs_twice_after_restarts() {
-    for seed in 0..HISTORY_COUNT {
+/// Plays a random history for each seed and checks it.
+fn check_histories(lose_starts_before_contact: bool) {
+    for seed in (0..HISTORY_COUNT).chain(RECORDED_SEEDS) {
         let mut history = RandomHistory::new(seed);
+        history.simulation.lose_starts_before_contact = lose_starts_before_contact;
         for _ in 0..EVENT_COUNT {
             history.apply_random_event();
         }
@@ -135,3 +137,17 @@
         assert!(result.is_ok(), "seed {seed}: {result:?}");
     }
 }
+
+/// Guards against tasks that run twice or are lost after upstreams have restarted under their
+/// identifiers, beside late orders, partitions and takeovers.
+#[test]
+fn no_task_runs_twice_after_restarts() {
+    check_histories(false);
+}
+
+/// Guards against the same where no start for a former incarnation is the first order to reach the new
+/// one.
+#[test]
+fn no_task_runs_twice_after_new_incarnations_were_contacted() {
+    check_histories(true);
+}
--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -462,3 +462,22 @@
 
     assert_tasks_move_after_cut(&mut simulation);
 }
+
+/// Guards against a successor that counts its own leases alone, although the new incarnation executed a
+/// renewal of the lost owner before it answered the successor.
+#[test]
+fn renewal_of_lost_owner_after_restart_extends_no_lease_beyond_the_bound() {
+    let mut simulation = fleet_with_long_task(&patient_queue());
+
+    restart_during(&mut simulation, OrderKind::Renewal);
+    simulation.owner = None;
+    simulation.predecessor_lost = true;
+    simulation.run_until(simulation.now + TAKEOVER_MS);
+    simulation.execute_intercepted();
+    simulation.take_over();
+    wait_for(&mut simulation, |simulation| {
+        run_count(simulation, "u0") == 1
+    });
+
+    assert_tasks_move_after_cut(&mut simulation);
+}
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -107,6 +107,11 @@
     pub faults: FaultRates,
     /// Longest delay of an order that is executed late, in milliseconds.
     pub longest_delay_ms: u64,
+    /// Whether late starts are lost that would reach an incarnation before any order that was sent
+    /// in its lifetime.
+    pub lose_starts_before_contact: bool,
+    /// Incarnations that have executed a renewal that was sent in their lifetime.
+    pub(crate) contacted: BTreeSet<(Arc<str>, u64)>,
     pub owner: Option<OwnerMachine>,
     /// An owner that was replaced and does not know it yet, and the time until which it acts.
     pub previous: Option<(OwnerMachine, u64)>,
@@ -218,6 +223,8 @@
             random,
             faults: FaultRates::default(),
             longest_delay_ms: 8000,
+            lose_starts_before_contact: false,
+            contacted: BTreeSet::new(),
             owner: None,
             previous: None,
             predecessor_lost: false,
@@ -567,23 +574,7 @@
                     self.execute_renewal(&order);
                 }
             }
-            Message::Renew(order, sent_at) => {
-                if self.delay_order(
-                    &order.upstream,
-                    order.epoch,
-                    Message::LateRenew(order.clone()),
-                ) {
-                    self.push(800, Message::Renewed(order, sent_at, None));
-                    return;
-                }
-                let reached = !self.is_partitioned(&order.upstream, order.epoch);
-                let answer = reached.then(|| self.execute_renewal(&order)).flatten();
-                let wait = order.wait_ms.min(50);
-                self.push(
-                    if reached { 1 + wait } else { 2000 },
-                    Message::Renewed(order, sent_at, answer),
-                );
-            }
+            Message::Renew(order, sent_at) => self.deliver_renewal(order, sent_at),
             Message::Commit(epoch, batch) => self.deliver_commit(epoch, batch),
             Message::Started(order, outcome, clock) => {
                 self.report_clock(order.epoch, &order.upstream, clock);
@@ -632,6 +623,27 @@
         }
     }
 
+    fn deliver_renewal(&mut self, order: RenewOrder, sent_at: u64) {
+        if self.delay_order(
+            &order.upstream,
+            order.epoch,
+            Message::LateRenew(order.clone()),
+        ) {
+            self.push(800, Message::Renewed(order, sent_at, None));
+            return;
+        }
+        let reached = !self.is_partitioned(&order.upstream, order.epoch);
+        let answer = reached.then(|| self.execute_renewal(&order)).flatten();
+        if reached {
+            self.record_contact(&order.upstream, sent_at);
+        }
+        let wait = order.wait_ms.min(50);
+        self.push(
+            if reached { 1 + wait } else { 2000 },
+            Message::Renewed(order, sent_at, answer),
+        );
+    }
+
     /// Returns the policy service's answer to a query; a ticket is for the present incarnation.
     fn policy_decision(&self, upstreams: &[Arc<str>]) -> QueryOutcome {
         let may_run = |id: &&Arc<str>| {
@@ -680,6 +692,9 @@
             self.push(800, Message::Started(order, no_reply, None));
             return;
         }
+        if late && self.lose_starts_before_contact && !self.is_contacted(&order.upstream) {
+            return;
+        }
         let is_intercepted = !late && self.intercepts(&order.upstream, OrderKind::Start);
         if is_intercepted {
             let late_start = Message::Start(order.clone(), sent_at, violations, true);
