Record for a successor which incarnation the owner's orders were meant for

The roster named the incarnation that the directory listed while the upstream had no runs. The lost owner had not heard of that one; its last renewal, meant for the one before, gave it a lease of 10 s, and the successor took it for the incarnation that the lost owner knew, and counted 6 s.

The roster now names the incarnation whose list the owner has, whether the upstream has runs or not.

--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -424,11 +424,11 @@
         true
     }
 
-    /// Returns the start of the incarnation that a successor must know of: the one that the runs
-    /// were placed on, so that the successor notices if it has ended, or else the reported one.
+    /// Returns the start of the incarnation that a successor must know of: the one that this owner's
+    /// orders are meant for, so that the successor notices if it has ended, or else the reported one.
     pub fn stored_incarnation(&self) -> u64 {
-        let placed_on = self.runs_incarnation.filter(|_| !self.runs.is_empty());
-        placed_on.unwrap_or(self.report.incarnation_unix_ms)
+        self.runs_incarnation
+            .unwrap_or(self.report.incarnation_unix_ms)
     }
 
     /// Returns the runs that have ended once `leases_expire_at` has passed, and records them as possible
