Test that a start answer with an earlier clock stops grants

The reading of an upstream's clock in the answer to a start order reaches the owner, which does not compare it with earlier ones yet: it goes on granting leases on the clock of the former incarnation until the next list of runs.

The test runs the control actor with an upstream whose start answer has an earlier clock. Its counterpart with a clock that goes on holds.

--- a/crates/host/tests/host/main.rs
+++ b/crates/host/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod accepted_positions;
 mod api_keys;
 mod claims;
+mod clock_readings;
 mod commits;
 mod config_freshness;
 mod departures;
