Don't take an overtaken answer for another incarnation's

An answer to a start or stop order that a later renewal's has overtaken carries an earlier reading of the same clock. The owner took it for another incarnation's, and granted nothing until the next list, found by reading.

A reading may be as low as the clock was when its order was sent. overtaken_answer_is_no_other_incarnation failed before; reading_of_another_clock_stops_grants keeps the other side.

--- a/crates/fleet/src/owner/incarnation_check.rs
+++ b/crates/fleet/src/owner/incarnation_check.rs
@@ -20,6 +20,9 @@
 /// Lowest possible speed of an upstream's clock, in thousandths of the owner's.
 const MIN_CLOCK_SPEED_PER_MILLE: u64 = 980;
 
+/// Highest possible speed of an upstream's clock, in thousandths of the owner's.
+const MAX_CLOCK_SPEED_PER_MILLE: u64 = 1020;
+
 /// Margin when two readings of an upstream's clock are compared, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 5;
 
@@ -109,10 +112,8 @@
     /// Returns whether a reading of the clock that was taken after `since` may be of the incarnation
     /// that sent the last list of runs.
     fn continues_clock(&self, since: u64, clock_ms: u64) -> bool {
-        let Some(last) = self.clock else {
-            return true;
-        };
-        clock_ms + CLOCK_MARGIN_MS >= last.clock_ms + min_elapsed_ms(last, since)
+        let earliest = self.clock.map_or(0, |last| earliest_reading(last, since));
+        clock_ms + CLOCK_MARGIN_MS >= earliest
     }
 
     /// Records that earlier orders may have granted leases to another incarnation until now; returns
@@ -149,9 +150,15 @@
     }
 }
 
-/// Returns the shortest duration on an upstream's clock from a reading to a time.
-fn min_elapsed_ms(last: ClockReading, until: u64) -> u64 {
-    until.saturating_sub(last.received_at) * MIN_CLOCK_SPEED_PER_MILLE / 1000
+/// Returns the lowest possible reading at a time, which may be before the last reading: answers overtake each
+/// other.
+fn earliest_reading(last: ClockReading, at: u64) -> u64 {
+    if at >= last.received_at {
+        last.clock_ms + (at - last.received_at) * MIN_CLOCK_SPEED_PER_MILLE / 1000
+    } else {
+        let earlier_ms = (last.received_at - at) * MAX_CLOCK_SPEED_PER_MILLE / 1000;
+        last.clock_ms.saturating_sub(earlier_ms)
+    }
 }
 
 impl OwnerMachine {
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod capacity;
+mod clock_readings;
 mod commits;
 mod crashes;
 mod departures;
