Ignore lists that were requested before the last one, whichever incarnation sent them

Found by reading: a late list of the former incarnation, processed after the new one had answered, counted as another restart. The owner then applied the former clock and numbers to the new incarnation again.

A renewal that was sent before the last list arrived says nothing new, so its list is ignored in this case too, and the next renewal goes out at once. late_list_of_a_former_incarnation_is_no_restart failed before with 2 restarts instead of 1.

--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -46,7 +46,7 @@
                 && entry.report.incarnation_unix_ms != reply.incarnation_unix_ms);
         let sent_before_last_reply = entry.clock.is_some_and(|clock| sent_at < clock.received_at);
         // The list is older than the last one that was processed.
-        if sent_before_last_reply && !restarted && entry.run_list_incarnation.is_some() {
+        if sent_before_last_reply && entry.run_list_incarnation.is_some() {
             entry.schedule_renewal(now, &mut self.renewal_queue);
             return;
         }
--- a/crates/fleet/tests/fleet/clock_readings.rs
+++ b/crates/fleet/tests/fleet/clock_readings.rs
@@ -106,6 +106,26 @@
     assert_eq!(deadlines, vec![None]);
 }
 
+/// Guards against taking a late list of the former incarnation for that of a new one.
+#[test]
+fn late_list_of_a_former_incarnation_is_no_restart() {
+    let mut owner = owner_with_listed_run();
+    let upstream: Arc<str> = "u0".into();
+    let restarted = RenewReply {
+        clock_ms: 40,
+        incarnation_unix_ms: 2,
+        running: Vec::new(),
+        ..list()
+    };
+
+    owner.on_renewed(LISTED_AT + 20, LISTED_AT + 10, &upstream, &restarted);
+    owner.on_renewed(LISTED_AT + 30, LISTED_AT + 5, &upstream, &list());
+
+    let effects = owner.take_effects();
+    let is_restart = |effect: &&OwnerEffect| matches!(effect, OwnerEffect::ReportRestart(_));
+    assert_eq!(effects.iter().filter(is_restart).count(), 1);
+}
+
 /// Guards against taking an answer that a later one has overtaken for another incarnation's.
 #[test]
 fn overtaken_answer_is_no_other_incarnation() {
