Don't release the runs of an incarnation because the one before has left

Found by reading: an upstream reports that it drains, starts again under its identifier, and its entry disappears before the new incarnation has reported. The owner took the runs of the new one for gone and started their tasks elsewhere, beside them.

Only runs of the incarnation that the disappeared entry described, or of an earlier one, are released; the others wait for a list or for their leases. departure_of_a_former_incarnation_releases_no_run failed before: (1, 0) submissions and runs, instead of (1, 1).

--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -275,8 +275,14 @@
         let max_report_age_ms = entry
             .report_written_after
             .map(|written_after| now.saturating_sub(written_after));
-        let has_left =
+        let is_recent =
             max_report_age_ms.is_some_and(|age| age < 2 * self.settings.report_interval_ms);
+        // The runs may be on a later incarnation, which the directory has not listed yet.
+        let reported = entry.report.incarnation_unix_ms;
+        let has_left = is_recent
+            && entry
+                .runs_incarnation
+                .is_none_or(|placed| placed <= reported);
         self.effects
             .push(OwnerEffect::ReportUnlisted(UnlistedReport {
                 upstream: id.clone(),
--- a/crates/fleet/tests/fleet/clock_readings.rs
+++ b/crates/fleet/tests/fleet/former_incarnations.rs
@@ -1,4 +1,4 @@
-//! Readings of upstreams' clocks in the answers to orders.
+//! Answers and reports of former incarnations, and readings of another clock.
 
 use std::sync::Arc;
 
@@ -138,3 +138,24 @@
     assert_eq!(deadlines.len(), 1);
     assert!(deadlines[0].is_some());
 }
+
+/// Guards against releasing the runs of an incarnation because the one before has left.
+#[test]
+fn departure_of_a_former_incarnation_releases_no_run() {
+    let mut owner = owner_with_listed_run();
+    let upstream: Arc<str> = "u0".into();
+    let mut draining = directory_read(2100, vec![report("u0")]);
+    draining.reports[0].draining = true;
+    draining.reports[0].revision = 2050;
+    let restarted = RenewReply {
+        clock_ms: 40,
+        incarnation_unix_ms: 2,
+        ..list()
+    };
+
+    owner.set_directory(2100, draining);
+    owner.on_renewed(2200, 2190, &upstream, &restarted);
+    owner.set_directory(2300, directory_read(2300, Vec::new()));
+
+    assert_eq!(owner.counts(), (1, 1));
+}
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,12 +2,12 @@
 
 mod advice;
 mod capacity;
-mod clock_readings;
 mod commits;
 mod crashes;
 mod departures;
 mod exclusions;
 mod fixtures;
+mod former_incarnations;
 mod gangs;
 mod held_runs;
 mod inherited_runs;
