Ignore directory reports that were read late, whichever incarnation wrote them

Found by reading: a report with a lower revision than the known one, read late, counted as a restart if its incarnation differed. Nothing was started on the upstream until a further report.

The store's revisions rise with every report, so that a lower one is older. late_report_of_a_former_incarnation_is_no_restart failed before.

--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -301,8 +301,8 @@
         let id = report.id.clone();
         if let Some(entry) = self.upstreams.get_mut(&id) {
             let restarted = entry.report.incarnation_unix_ms != report.incarnation_unix_ms;
-            // A report that was read late says nothing about the present capacity.
-            if !restarted && report.revision < entry.report.revision {
+            // A report that was read late says nothing about the present capacity or incarnation.
+            if report.revision < entry.report.revision {
                 return;
             }
             if report.draining {
--- a/crates/fleet/tests/fleet/former_incarnations.rs
+++ b/crates/fleet/tests/fleet/former_incarnations.rs
@@ -159,3 +159,23 @@
 
     assert_eq!(owner.counts(), (1, 1));
 }
+
+/// Guards against a report that was read late and counts as a restart.
+#[test]
+fn late_report_of_a_former_incarnation_is_no_restart() {
+    let mut owner = owner_with_listed_run();
+    let upstream: Arc<str> = "u0".into();
+    let mut newer = directory_read(2100, vec![report("u0")]);
+    newer.reports[0].revision = 2050;
+    let mut late = directory_read(2200, vec![report("u0")]);
+    late.reports[0].incarnation_unix_ms = 0;
+    late.reports[0].revision = 900;
+
+    owner.set_directory(2100, newer);
+    owner.set_directory(2200, late);
+    owner.on_renewed(2210, 2205, &upstream, &list());
+    let deadlines = renewal_deadlines(&mut owner, 2211);
+
+    assert_eq!(deadlines.len(), 1);
+    assert!(deadlines[0].is_some());
+}
