Repeat a start only where the task may still be started

It could grant a lease while the store still bounds the leases of the upstream as those of a silent one, so that a successor starts the task beside it, or start a task in a failure domain that was taken out of service, on a draining upstream, or with an expired ticket.

--- a/crates/fleet/src/owner/incarnation_check.rs
+++ b/crates/fleet/src/owner/incarnation_check.rs
@@ -254,8 +254,9 @@
         Some(doubt)
     }
 
-    /// Repeats the start orders that got no answer before a doubt has ended. A new incarnation has not
-    /// executed those that it does not list, and rejects them from now on.
+    /// Repeats the start orders that got no answer before a doubt has ended, or withdraws them if the
+    /// tasks may no longer be started there. A new incarnation has not executed those that it does not list, and
+    /// rejects them from now on.
     pub(super) fn resume_starts(&mut self, now: u64, upstream: &Arc<str>, doubt: IncarnationDoubt) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
@@ -267,6 +268,8 @@
             if doubt.needs_fence {
                 self.release_rejected(now, &order, Some(RejectReason::Fenced));
                 self.record_change(&order.task.submission, false);
+            } else if !self.can_start(now, upstream, &order.task) {
+                self.withdraw_start(now, &order);
             } else {
                 self.repeat_start(now, &order);
             }
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -88,19 +88,21 @@
             return;
         };
         entry.schedule_renewal(now, &mut self.renewal_queue);
-        let not_responsive = entry.contact != ContactState::Responsive;
         let Some(run) = entry.runs.get(&order.task) else {
             return;
         };
         let sent_at = run.order_sent_at;
         let is_final = run.phase != RunPhase::Starting || run.start_orders >= MAX_START_ORDERS;
         entry.doubt_unanswered(now, sent_at, DoubtReason::StartUnanswered);
-        if not_responsive || is_final {
+        let is_silent = entry.contact != ContactState::Responsive;
+        if is_final || is_silent {
             self.withdraw_start(now, order);
         } else if entry.doubt.is_some() {
             entry.deferred_starts.push(order.clone());
-        } else {
+        } else if self.can_start(now, &order.upstream, &order.task) {
             self.repeat_start(now, order);
+        } else {
+            self.withdraw_start(now, order);
         }
     }
 
@@ -124,7 +126,7 @@
     }
 
     /// Withdraws an attempt by a stop order, because a start order may still be executed.
-    fn withdraw_start(&mut self, now: u64, order: &StartOrder) {
+    pub(super) fn withdraw_start(&mut self, now: u64, order: &StartOrder) {
         self.stop_gang(now, &order.task);
         let Some(entry) = self.upstreams.get_mut(&order.upstream) else {
             return;
--- a/crates/fleet/src/owner/planned_start.rs
+++ b/crates/fleet/src/owner/planned_start.rs
@@ -25,14 +25,14 @@
         let recorded = self.recorded_runs(id, progress);
         let mut unstartable_steps = Vec::new();
         for run in &recorded {
-            if !self.can_start(now, run) {
+            if !self.can_start(now, &run.upstream, &run.name) {
                 unstartable_steps.push((run.name.occurrence, run.name.step));
             }
         }
         for run in recorded {
             let gang_broken = self.is_gang(&run.name)
                 && unstartable_steps.contains(&(run.name.occurrence, run.name.step));
-            if gang_broken || !self.can_start(now, &run) {
+            if gang_broken || !self.can_start(now, &run.upstream, &run.name) {
                 self.release(now, &run.upstream, &run.name);
                 self.record_change(id, false);
             } else {
@@ -69,17 +69,17 @@
         step.is_some_and(|step| step.gang)
     }
 
-    /// Returns whether the upstream and the ticket of a planned run are still valid for a start.
-    fn can_start(&self, now: u64, run: &RecordedRun) -> bool {
-        let Some(entry) = self.upstreams.get(&run.upstream) else {
+    /// Returns whether the upstream and the ticket of a run are still valid for a start.
+    pub(super) fn can_start(&self, now: u64, upstream: &Arc<str>, name: &TaskName) -> bool {
+        let Some(entry) = self.upstreams.get(upstream) else {
             return false;
         };
-        let submission = self.submissions.get(&run.name.submission);
+        let submission = self.submissions.get(&name.submission);
         let Some(submission) = submission.filter(|entry| entry.is_active()) else {
             return false;
         };
         let needs_ticket = self.queue_of(&submission.record).policy_service.is_some();
-        let ticket = step_of(submission, &run.name).and_then(|step| step.tickets.get(&entry.index));
+        let ticket = step_of(submission, name).and_then(|step| step.tickets.get(&entry.index));
         let allowed = !needs_ticket || ticket.is_some_and(|ticket| now < ticket.expires_at);
         allowed
             && entry.allocated.fits(&entry.report.capacity)
--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -359,6 +359,62 @@
     }
 }
 
+/// Returns a fleet whose start order for `s1` gets no answer before `u0` is cut off, and the time at which
+/// `u0` is back.
+fn fleet_with_unanswered_start(cut_ms: u64) -> (FleetSimulation, u64) {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+    simulation.submit(&submission("s0", &policy, vec![long_step()]));
+    simulation.run_until(simulation.now + 500);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+    simulation.intercept_next("u0", OrderKind::Start);
+    wait_for(&mut simulation, |simulation| {
+        simulation.to_intercept.is_empty()
+    });
+    let back_at = simulation.now + cut_ms;
+    simulation.partitioned.insert("u0".into(), back_at);
+    (simulation, back_at)
+}
+
+/// Returns the number of start orders for `s1` with the first attempt number.
+fn first_attempt_orders(simulation: &FleetSimulation) -> usize {
+    let sent = simulation.started.iter();
+    sent.filter(|order| &*order.task.submission == "s1" && order.attempt == 1)
+        .count()
+}
+
+/// Guards against granting a lease by a repeated start while the store still bounds the leases of the
+/// upstream as those of a silent one.
+#[test]
+fn start_is_not_repeated_on_an_upstream_that_was_recorded_as_silent() {
+    let (mut simulation, back_at) = fleet_with_unanswered_start(3500);
+
+    simulation.run_until(back_at);
+    let before = first_attempt_orders(&simulation);
+    simulation.run_until(back_at + 2000);
+
+    assert_eq!(first_attempt_orders(&simulation), before);
+    assert_eq!(run_count(&simulation, "u0"), 2);
+}
+
+/// Guards against a repeated start in a failure domain that was taken out of service meanwhile.
+#[test]
+fn start_is_not_repeated_in_an_evacuated_domain() {
+    let (mut simulation, back_at) = fleet_with_unanswered_start(1000);
+
+    simulation.run_until(back_at - 10);
+    let before = first_attempt_orders(&simulation);
+    let approved = simulation.config.clone();
+    let evacuated = ["west".into()].into();
+    let owner = simulation.owner.as_mut().expect("an owner");
+    owner.set_config(approved, evacuated);
+    simulation.run_until(back_at + 2000);
+
+    assert_eq!(first_attempt_orders(&simulation), before);
+    assert_eq!(run_count(&simulation, "u0"), 1);
+}
+
 /// Restarts `u0` unnoticed, and has the new incarnation execute the first start order of a task.
 fn fleet_with_start_after_restart(answered: bool) -> FleetSimulation {
     let policy = patient_queue();
