Simulate directories that list a new incarnation late

The simulated directory showed a restart at once, even of an upstream that was cut off from the store before it could report. An upstream reports only every heartbeat, and may be cut off before.

The time to the first report is a field now, 0 by default, so that all existing tests stay as they are.

Nothing tells the owner of that restart. It would have to hold each run whose start got no answer for the longest lease from when the start was sent, and a successor for longer than its bound on the last commit.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -25,3 +25,4 @@
 mod scheduling;
 mod simulation;
 mod ticks;
+mod unlisted_incarnations;
--- a/crates/fleet/tests/fleet/restart_histories.rs
+++ b/crates/fleet/tests/fleet/restart_histories.rs
@@ -124,10 +124,11 @@
 }
 
 /// Plays a random history for each seed and checks it.
-fn check_histories(lose_starts_before_contact: bool) {
+fn check_histories(lose_starts_before_contact: bool, first_report_delay_ms: u64) {
     for seed in (0..HISTORY_COUNT).chain(RECORDED_SEEDS) {
         let mut history = RandomHistory::new(seed);
         history.simulation.lose_starts_before_contact = lose_starts_before_contact;
+        history.simulation.first_report_delay_ms = first_report_delay_ms;
         for _ in 0..EVENT_COUNT {
             history.apply_random_event();
         }
@@ -142,12 +143,18 @@
 /// identifiers, beside late orders, partitions and takeovers.
 #[test]
 fn no_task_runs_twice_after_restarts() {
-    check_histories(false);
+    check_histories(false, 0);
 }
 
 /// Guards against the same where no start for a former incarnation is the first order to reach the new
 /// one.
 #[test]
 fn no_task_runs_twice_after_new_incarnations_were_contacted() {
-    check_histories(true);
+    check_histories(true, 0);
+}
+
+/// Guards against the same where the directory lists new incarnations late.
+#[test]
+fn no_task_runs_twice_before_new_incarnations_are_listed() {
+    check_histories(true, 1500);
 }
--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -14,7 +14,7 @@
 const LONG_RUN_MS: u64 = 60_000;
 
 /// Time within which tasks run again after a restart or a loss, in milliseconds.
-const RESTART_LIMIT_MS: u64 = 16_000;
+pub(crate) const RESTART_LIMIT_MS: u64 = 16_000;
 
 /// Returns a fleet with one upstream, `u0`, whose clock is slow and which has answered the owner.
 fn fleet_of_one(policy: &QueuePolicy) -> FleetSimulation {
@@ -69,18 +69,18 @@
     }
 }
 
-fn run_count(simulation: &FleetSimulation, id: &str) -> usize {
+pub(crate) fn run_count(simulation: &FleetSimulation, id: &str) -> usize {
     simulation.upstreams[id].runs.len()
 }
 
 /// Adds `u1`, another upstream without runs.
-fn add_spare_upstream(simulation: &mut FleetSimulation) {
+pub(crate) fn add_spare_upstream(simulation: &mut FleetSimulation) {
     let spare = SimulatedUpstream::new("u1", 1, 1000);
     simulation.upstreams.insert("u1".into(), spare);
 }
 
 /// Cuts `u0`, which runs on, off for good.
-fn cut_off(simulation: &mut FleetSimulation) {
+pub(crate) fn cut_off(simulation: &mut FleetSimulation) {
     simulation.partitioned.insert("u0".into(), u64::MAX);
     let now = simulation.now;
     simulation.cut_off_from_store.insert("u0".into(), now);
@@ -99,7 +99,7 @@
 }
 
 /// Cuts `u0` off and checks that its tasks run on another upstream, but not before they have ended.
-fn assert_tasks_move_after_cut(simulation: &mut FleetSimulation) {
+pub(crate) fn assert_tasks_move_after_cut(simulation: &mut FleetSimulation) {
     cut_off(simulation);
     add_spare_upstream(simulation);
     let tasks = tasks_on(simulation, "u0");
@@ -114,7 +114,7 @@
 }
 
 /// Loses the owner, which does not confirm that it stepped down, and lets another host take over.
-fn replace_lost_owner(simulation: &mut FleetSimulation) {
+pub(crate) fn replace_lost_owner(simulation: &mut FleetSimulation) {
     simulation.owner = None;
     simulation.predecessor_lost = true;
     simulation.run_until(simulation.now + TAKEOVER_MS);
@@ -360,7 +360,7 @@
 }
 
 /// Restarts `u0` unnoticed, and has the new incarnation execute the first start order of a task.
-fn fleet_with_start_after_restart(answered: bool) -> FleetSimulation {
+pub(crate) fn fleet_with_start_after_restart(answered: bool) -> FleetSimulation {
     let policy = patient_queue();
     let mut simulation = fleet_of_one(&policy);
     simulation.run_ms = Some(LONG_RUN_MS);
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -107,6 +107,8 @@
     pub faults: FaultRates,
     /// Longest delay of an order that is executed late, in milliseconds.
     pub longest_delay_ms: u64,
+    /// Time after which a new incarnation reports to the directory, in milliseconds.
+    pub first_report_delay_ms: u64,
     /// Whether late starts are lost that would reach an incarnation before any order that was sent
     /// in its lifetime.
     pub lose_starts_before_contact: bool,
@@ -223,6 +225,7 @@
             random,
             faults: FaultRates::default(),
             longest_delay_ms: 8000,
+            first_report_delay_ms: 0,
             lose_starts_before_contact: false,
             contacted: BTreeSet::new(),
             owner: None,
@@ -371,6 +374,7 @@
         if let Some(upstream) = self.upstreams.get_mut(id) {
             let incarnation = upstream.incarnation_unix_ms + 1;
             *upstream = SimulatedUpstream {
+                former_incarnation_unix_ms: upstream.incarnation_unix_ms,
                 clock_started_at: self.now,
                 clock_speed_per_mille: upstream.clock_speed_per_mille,
                 max_lease_ms: upstream.max_lease_ms,
@@ -448,8 +452,14 @@
         if upstream.unlisted || expired {
             return None;
         }
+        let listed_at = upstream.clock_started_at + self.first_report_delay_ms;
+        let incarnation_unix_ms = if reporting_until < listed_at {
+            upstream.former_incarnation_unix_ms
+        } else {
+            upstream.incarnation_unix_ms
+        };
         Some(UpstreamReport {
-            incarnation_unix_ms: upstream.incarnation_unix_ms,
+            incarnation_unix_ms,
             capacity: upstream.capacity,
             draining: upstream.draining,
             revision: written_at,
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -39,6 +39,9 @@
     pub id: Arc<str>,
     /// Start of the present incarnation, in milliseconds since the Unix epoch.
     pub incarnation_unix_ms: u64,
+    /// Start of the incarnation before, which the directory lists until the present one has reported;
+    /// the present one if there was none.
+    pub former_incarnation_unix_ms: u64,
     /// Entry in the directory.
     pub report: UpstreamReport,
     /// Virtual time from which its clock counts.
@@ -99,6 +102,7 @@
         Self {
             id: id.into(),
             incarnation_unix_ms,
+            former_incarnation_unix_ms: incarnation_unix_ms,
             report: UpstreamReport {
                 id: id.into(),
                 incarnation_unix_ms,
