--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -137,8 +137,8 @@
     Started,
     /// The upstream rejected the order.
     Rejected(RejectReason),
-    /// The order was certainly not executed: the upstream is overloaded or unhealthy, or the host did
-    /// not send it because its ownership may have expired.
+    /// The order was certainly not executed: the upstream is overloaded or unhealthy, or the host
+    /// did not send it because its ownership may have expired.
     Unhealthy,
     /// The order was certainly not sent: no connection could be made.
     NotSent,
--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -21,7 +21,8 @@
     /// Epoch of the owner; only the owner needs it.
     #[serde(skip)]
     pub epoch: u64,
-    /// Fencing token: at least the epoch. Upstreams reject orders with a lower one than they have seen.
+    /// Fencing token: at least the epoch. Upstreams reject orders with a lower one than they have
+    /// seen.
     pub fence: u64,
     /// Highest number such that the changes of all finished runs up to it are stored.
     pub ack_number: u64,
@@ -137,8 +138,8 @@
     pub incarnation_unix_ms: u64,
     /// Reading of its clock, in milliseconds.
     pub clock_ms: u64,
-    /// Number of orders that granted leases on the earlier incarnation's clock and were sent after its last
-    /// answer; this incarnation may have executed them.
+    /// Number of orders that granted leases on the earlier incarnation's clock and were sent after
+    /// its last answer; this incarnation may have executed them.
     pub lease_orders: u32,
     /// Highest acknowledged number of a finished run in these and other renewals since then.
     pub ack_number: u64,
--- a/crates/fleet/src/owner/held_runs.rs
+++ b/crates/fleet/src/owner/held_runs.rs
@@ -12,8 +12,8 @@
 use crate::owner::upstream_entry::UpstreamEntry;
 use crate::owner::{OwnerEffect, OwnerMachine};
 
-/// Time before the release of held runs from which their steps may query, in milliseconds; most steps
-/// query later.
+/// Time before the release of held runs from which their steps may query, in milliseconds; most
+/// steps query later.
 const EARLIEST_QUERY_MS: u64 = 4000;
 
 /// Where the bound on an upstream's leases comes from.
--- a/crates/fleet/src/owner/incarnation_check.rs
+++ b/crates/fleet/src/owner/incarnation_check.rs
@@ -7,9 +7,9 @@
 //! An order without an answer, or an answer that does not fit the earlier ones, therefore raises a
 //! doubt. Until it ends, nothing is started on the upstream, no lease is granted and nothing is
 //! acknowledged. It ends with the answer to a renewal that was sent later. That renewal carries a
-//! higher fencing token than all orders before the doubt, so that a new incarnation that has answered
-//! it rejects them from then on. Leases that they granted before that answer last at most as long as
-//! the upstreams' longest lease; the roster records this bound for a successor.
+//! higher fencing token than all orders before the doubt, so that a new incarnation that has
+//! answered it rejects them from then on. Leases that they granted before that answer last at most
+//! as long as the upstreams' longest lease; the roster records this bound for a successor.
 
 use std::sync::Arc;
 
@@ -68,8 +68,8 @@
     raised_at: u64,
     /// Time of the latest reason for it; only the answer to a renewal that was sent later ends it.
     since: u64,
-    /// Highest fencing token of the orders before it was raised. Orders that are sent during it start,
-    /// grant and acknowledge nothing.
+    /// Highest fencing token of the orders before it was raised. Orders that are sent during it
+    /// start, grant and acknowledge nothing.
     earlier_fence: u64,
     /// Whether another incarnation has answered. It then ends with a renewal that carries a higher
     /// fencing token.
@@ -91,8 +91,8 @@
         doubt.needs_fence |= needs_fence;
     }
 
-    /// Raises a doubt because an order that was sent at `sent_at` got no answer, unless the upstream
-    /// has answered another one since.
+    /// Raises a doubt because an order that was sent at `sent_at` got no answer, unless the
+    /// upstream has answered another one since.
     pub fn doubt_unanswered(&mut self, now: u64, sent_at: u64, reason: DoubtReason) {
         if self.answered_at <= sent_at {
             self.raise_doubt(now, reason);
@@ -109,15 +109,15 @@
         self.doubt.is_some_and(|doubt| doubt.needs_fence)
     }
 
-    /// Returns whether a reading of the clock that was taken after `since` may be of the incarnation
-    /// that sent the last list of runs.
+    /// Returns whether a reading of the clock that was taken after `since` may be of the
+    /// incarnation that sent the last list of runs.
     fn continues_clock(&self, since: u64, clock_ms: u64) -> bool {
         let earliest = self.clock.map_or(0, |last| earliest_reading(last, since));
         clock_ms + CLOCK_MARGIN_MS >= earliest
     }
 
-    /// Records that earlier orders may have granted leases to another incarnation until now; returns
-    /// the time by which these have expired.
+    /// Records that earlier orders may have granted leases to another incarnation until now;
+    /// returns the time by which these have expired.
     fn extend_former_leases(&mut self, now: u64, max_lease_ms: u64) -> u64 {
         let expire_at = latest_expiry(now, max_lease_ms);
         self.former_leases_until = self.former_leases_until.max(expire_at);
@@ -135,8 +135,8 @@
         }
     }
 
-    /// Returns whether a renewal could end the doubt with the fencing token that the upstream's orders
-    /// carry.
+    /// Returns whether a renewal could end the doubt with the fencing token that the upstream's
+    /// orders carry.
     fn has_sufficient_fence(&self) -> bool {
         let doubt = self.doubt.as_ref();
         doubt.is_none_or(|doubt| !doubt.needs_fence || self.fence > doubt.earlier_fence)
@@ -150,8 +150,8 @@
     }
 }
 
-/// Returns the lowest possible reading at a time, which may be before the last reading: answers overtake each
-/// other.
+/// Returns the lowest possible reading at a time, which may be before the last reading: answers
+/// overtake each other.
 fn earliest_reading(last: ClockReading, at: u64) -> u64 {
     if at >= last.received_at {
         last.clock_ms + (at - last.received_at) * MIN_CLOCK_SPEED_PER_MILLE / 1000
@@ -163,7 +163,8 @@
 
 impl OwnerMachine {
     /// Handles a reading of an upstream's clock from the answer to a start or stop order that was
-    /// sent at `sent_at`. A reading that does not continue the earlier ones is another incarnation's.
+    /// sent at `sent_at`. A reading that does not continue the earlier ones is another
+    /// incarnation's.
     pub fn on_clock_reading(&mut self, now: u64, sent_at: u64, upstream: &Arc<str>, clock_ms: u64) {
         let max_lease_ms = self.settings.max_lease_ms;
         let Some(entry) = self.upstreams.get_mut(upstream) else {
@@ -178,9 +179,9 @@
         self.roster_changed = true;
     }
 
-    /// Handles the report of another incarnation than before in the directory. It may run tasks whose
-    /// start got no answer. Before the first list, the owner does not know for which runs of the roster
-    /// earlier owners had one.
+    /// Handles the report of another incarnation than before in the directory. It may run tasks
+    /// whose start got no answer. Before the first list, the owner does not know for which runs of
+    /// the roster earlier owners had one.
     pub(super) fn check_listed_incarnation(&mut self, now: u64, upstream: &Arc<str>) {
         let max_lease_ms = self.settings.max_lease_ms;
         let Some(entry) = self.upstreams.get_mut(upstream) else {
@@ -201,8 +202,9 @@
         }
     }
 
-    /// Handles the list of an incarnation that is not the one of the last list. Bounds the leases that
-    /// earlier orders have granted there, and raises a doubt unless it rejects them from now on.
+    /// Handles the list of an incarnation that is not the one of the last list. Bounds the leases
+    /// that earlier orders have granted there, and raises a doubt unless it rejects them from now
+    /// on.
     pub(super) fn meet_incarnation(&mut self, now: u64, upstream: &Arc<str>, is_first_list: bool) {
         let max_lease_ms = self.settings.max_lease_ms;
         let Some(entry) = self.upstreams.get_mut(upstream) else {
@@ -254,9 +256,9 @@
         Some(doubt)
     }
 
-    /// Repeats the start orders that got no answer before a doubt has ended, or withdraws them if the
-    /// tasks may no longer be started there. A new incarnation has not executed those that it does not list, and
-    /// rejects them from now on.
+    /// Repeats the start orders that got no answer before a doubt has ended, or withdraws them if
+    /// the tasks may no longer be started there. A new incarnation has not executed those that it
+    /// does not list, and rejects them from now on.
     pub(super) fn resume_starts(&mut self, now: u64, upstream: &Arc<str>, doubt: IncarnationDoubt) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -6,32 +6,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::model::{FinishedRun, RenewReply, RunOutcome, RunReport, SubmissionState, TaskName};
-use crate::owner::submission_entry::{OccurrenceEntry, SubmissionEntry, TaskPhase};
+use crate::model::{RenewReply, RunReport, TaskName};
+use crate::owner::submission_entry::{SubmissionEntry, TaskPhase};
 use crate::owner::upstream_entry::{ClockReading, RunPhase, SentAssumptions, UpstreamEntry};
 use crate::owner::{
     DoubtReason, LeaseTerm, MissingFinishedRuns, OwnerEffect, OwnerMachine, ReleaseCause,
     RestartReport, StopReason,
 };
 
-/// Number of submissions with failed runs after which an upstream is quarantined; a completed run
-/// resets the count.
-const QUARANTINE_FAILURES: usize = 2;
-
-/// Duration of the first quarantine, during which nothing is placed on the upstream, in
-/// milliseconds; doubles each time.
-const FIRST_QUARANTINE_MS: u64 = 1500;
-
-/// Maximum number of times that the duration of a quarantine is doubled.
-const MAX_QUARANTINE_DOUBLINGS: u32 = 3;
-
-/// Delay before the other members of a gang are stopped after one is done, in milliseconds; they
-/// normally finish by themselves within it.
-const GANG_STOP_DELAY_MS: u64 = 500;
-
-/// Delay before a task is retried after a failed run, in milliseconds.
-const FAILED_RETRY_DELAY_MS: u64 = 20;
-
 impl OwnerMachine {
     /// Handles the reply to a renewal that was sent at `sent_at`.
     pub fn on_renewed(&mut self, now: u64, sent_at: u64, upstream: &Arc<str>, reply: &RenewReply) {
@@ -137,8 +119,8 @@
         self.extend_isolation(now, upstream);
     }
 
-    /// Handles a renewal with a fencing token that was rejected because the upstream has seen a higher
-    /// one.
+    /// Handles a renewal with a fencing token that was rejected because the upstream has seen a
+    /// higher one.
     pub fn on_renewal_fenced(&mut self, now: u64, upstream: &Arc<str>, fence: u64) {
         if !self.is_outdated_fence(upstream, fence) {
             self.step_down();
@@ -261,247 +243,6 @@
         }
     }
 
-    /// Processes the listed finished runs that are new; returns whether there were any.
-    fn process_finished(
-        &mut self,
-        now: u64,
-        upstream: &Arc<str>,
-        finished_runs: &[FinishedRun],
-    ) -> bool {
-        let mut any = false;
-        for finished in finished_runs {
-            let Some(entry) = self.upstreams.get_mut(upstream) else {
-                return any;
-            };
-            if finished.number <= entry.last_finished_number {
-                continue;
-            }
-            entry.last_finished_number = finished.number;
-            any = true;
-            let sequence = self.process_finished_run(now, upstream, finished);
-            if let Some(entry) = self.upstreams.get_mut(upstream) {
-                entry.uncommitted.push_back((finished.number, sequence));
-                self.uncommitted_upstreams.insert(upstream.clone());
-            }
-        }
-        any
-    }
-
-    /// Processes one finished run; returns the sequence number of the change that must be stored
-    /// before it is acknowledged, or 0 if nothing has to be stored.
-    fn process_finished_run(
-        &mut self,
-        now: u64,
-        upstream: &Arc<str>,
-        finished: &FinishedRun,
-    ) -> u64 {
-        let Some(name) = TaskName::parse(&finished.task) else {
-            return 0;
-        };
-        let is_allocated = self
-            .upstreams
-            .get(upstream)
-            .and_then(|entry| entry.runs.get(&name))
-            .is_some_and(|run| run.attempt <= finished.attempt);
-        if is_allocated && let Some(run) = self.release(now, upstream, &name) {
-            self.record_slowdown(now, upstream, &name, &run, finished.outcome);
-        }
-        let Some(submission) = self.submissions.get(&name.submission) else {
-            return 0;
-        };
-        let id = submission.record.id.clone();
-        if submission.state.is_final() && submission.final_state_stored {
-            return 0;
-        }
-        let is_stale = self
-            .task_mut(&name)
-            .is_some_and(|task| task.phase == TaskPhase::Placed && finished.attempt < task.attempt);
-        if is_stale {
-            // The lease of this run had expired and a newer attempt is running: only that attempt
-            // may complete the task.
-            if finished.outcome == RunOutcome::Failed {
-                self.record_failed_attempt(now, upstream, &name, finished.attempt);
-            }
-            return self.record_change(&id, false);
-        }
-        if let Some(task) = self.task_mut(&name) {
-            task.attempt = task.attempt.max(finished.attempt);
-            if !finished.checkpoint.is_empty() {
-                task.checkpoint = Some(finished.checkpoint.clone());
-            }
-        }
-        self.update_gang_checkpoint(&name, &finished.checkpoint);
-        if matches!(finished.outcome, RunOutcome::Done | RunOutcome::Failed) {
-            self.mark_started(&id);
-        }
-        match finished.outcome {
-            RunOutcome::Done => self.finish_task(now, upstream, &name),
-            RunOutcome::Failed => self.fail_task(now, upstream, &name, finished.attempt),
-            RunOutcome::Stopped | RunOutcome::Lapsed | RunOutcome::Broken | RunOutcome::Alone => {
-                self.stop_gang(now, &name);
-            }
-        }
-        self.record_change(&id, false)
-    }
-
-    fn update_gang_checkpoint(&mut self, name: &TaskName, checkpoint: &Arc<str>) {
-        if checkpoint.is_empty() {
-            return;
-        }
-        let Some(entry) = self.submissions.get_mut(&name.submission) else {
-            return;
-        };
-        if entry
-            .record
-            .steps
-            .get(name.step as usize)
-            .is_some_and(|step| step.gang)
-            && let Some(step) = entry
-                .occurrences
-                .get_mut(name.occurrence as usize)
-                .and_then(|occurrence| occurrence.steps.get_mut(name.step as usize))
-        {
-            step.gang_checkpoint = Some(checkpoint.clone());
-        }
-    }
-
-    /// Marks a task, or its whole gang, as done.
-    fn finish_task(&mut self, now: u64, upstream: &Arc<str>, name: &TaskName) {
-        if let Some(entry) = self.upstreams.get_mut(upstream) {
-            entry.end_probation();
-        }
-        let Some(entry) = self.submissions.get_mut(&name.submission) else {
-            return;
-        };
-        let Some(spec) = entry.record.steps.get(name.step as usize) else {
-            return;
-        };
-        if spec.long_running {
-            return;
-        }
-        let gang = spec.gang;
-        let Some(step) = entry
-            .occurrences
-            .get_mut(name.occurrence as usize)
-            .and_then(|occurrence| occurrence.steps.get_mut(name.step as usize))
-        else {
-            return;
-        };
-        let mut other_members = Vec::new();
-        for (index, task) in (0..).zip(&mut step.tasks) {
-            if (gang || index == name.index) && task.phase != TaskPhase::Done {
-                if let Some(other_upstream) = task.upstream.take() {
-                    other_members.push((
-                        TaskName {
-                            index,
-                            ..name.clone()
-                        },
-                        other_upstream,
-                    ));
-                }
-                task.phase = TaskPhase::Done;
-                step.done += 1;
-            }
-        }
-        let step_done = step.is_done();
-        let complete = step_done && entry.occurrences.iter().all(OccurrenceEntry::is_done);
-        let id = entry.record.id.clone();
-        let active = entry.is_active();
-        for (member, other_upstream) in other_members {
-            self.stop_run(
-                now + GANG_STOP_DELAY_MS,
-                &other_upstream,
-                &member,
-                StopReason::GangDone,
-            );
-        }
-        if step_done && active {
-            self.ready.mark_fresh(&id);
-        }
-        if complete && active {
-            self.end_submission(now, &id, SubmissionState::Completed);
-        }
-    }
-
-    /// Handles a failed run.
-    fn fail_task(&mut self, now: u64, upstream: &Arc<str>, name: &TaskName, attempt: u32) {
-        self.count_upstream_failure(now, upstream, &name.submission);
-        self.stop_gang(now, name);
-        self.record_failed_attempt(now, upstream, name, attempt);
-    }
-
-    /// Records a failed attempt of a task; fails the submission once the task, or its gang, has
-    /// used up the attempts that the queue allows. A long-running step never fails its submission.
-    fn record_failed_attempt(
-        &mut self,
-        now: u64,
-        upstream: &Arc<str>,
-        name: &TaskName,
-        attempt: u32,
-    ) {
-        let Some(entry) = self.submissions.get(&name.submission) else {
-            return;
-        };
-        let record = entry.record.clone();
-        let max_attempts = self.queue_of(&record).max_attempts.max(1);
-        let Some(spec) = record.steps.get(name.step as usize) else {
-            return;
-        };
-        let Some(entry) = self.submissions.get_mut(&name.submission) else {
-            return;
-        };
-        let Some(step) = entry
-            .occurrences
-            .get_mut(name.occurrence as usize)
-            .and_then(|occurrence| occurrence.steps.get_mut(name.step as usize))
-        else {
-            return;
-        };
-        let Some(task) = step.tasks.get_mut(name.index as usize) else {
-            return;
-        };
-        task.failed.insert(attempt);
-        task.avoided_upstream = Some(upstream.clone());
-        task.not_before = now + FAILED_RETRY_DELAY_MS;
-        let mut failed = task.failed.len();
-        if spec.gang {
-            failed = step.gang_failures();
-        }
-        if !spec.long_running && failed >= max_attempts as usize && entry.is_active() {
-            let id = record.id.clone();
-            self.end_submission(now, &id, SubmissionState::Failed);
-        }
-    }
-
-    /// Counts a failed run against its upstream. Quarantines the upstream if runs of
-    /// `QUARANTINE_FAILURES` submissions failed, or after any failure if no run has completed since
-    /// the last quarantine.
-    fn count_upstream_failure(&mut self, now: u64, upstream: &Arc<str>, submission: &Arc<str>) {
-        let Some(entry) = self.upstreams.get_mut(upstream) else {
-            return;
-        };
-        if !entry.failed_submissions.contains(submission) {
-            entry.failed_submissions.push(submission.clone());
-        }
-        if entry.failed_submissions.len() >= QUARANTINE_FAILURES || entry.quarantine_count > 0 {
-            self.start_quarantine(now, upstream);
-        }
-    }
-
-    /// Quarantines an upstream, each time for longer, unless it is quarantined already.
-    pub(super) fn start_quarantine(&mut self, now: u64, upstream: &Arc<str>) {
-        let Some(entry) = self.upstreams.get_mut(upstream) else {
-            return;
-        };
-        if now < entry.quarantined_until {
-            return;
-        }
-        let doublings = entry.quarantine_count.min(MAX_QUARANTINE_DOUBLINGS);
-        entry.quarantined_until = now + (FIRST_QUARANTINE_MS << doublings);
-        entry.quarantine_count += 1;
-        entry.failed_submissions.clear();
-    }
-
     /// Processes the listed runs: confirms, adopts or stops them, and releases runs that are
     /// missing from complete lists.
     fn process_running(&mut self, now: u64, sent_at: u64, upstream: &Arc<str>, reply: &RenewReply) {
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -54,7 +54,8 @@
     pub(super) stop_queue: DueQueue,
     /// Upstreams with finished runs that are not stored yet.
     pub(super) uncommitted_upstreams: BTreeSet<Arc<str>>,
-    /// Upstreams that wait for a commit with a revision that is high enough for their fencing token.
+    /// Upstreams that wait for a commit with a revision that is high enough for their fencing
+    /// token.
     pub(super) unfenced_upstreams: BTreeSet<Arc<str>>,
     /// Revision of the owner's newest stored commit, or its epoch if it is higher.
     pub(super) newest_revision: u64,
@@ -88,8 +89,8 @@
     /// Time after which the store showed that this host is the owner: when it requested its claim,
     /// or sent the last commit that was stored.
     pub(super) ownership_confirmed_at: u64,
-    /// Time after which every host that could succeed this owner was asked and reached no store; 0 if
-    /// never.
+    /// Time after which every host that could succeed this owner was asked and reached no store; 0
+    /// if never.
     pub(super) outage_observed_at: u64,
     pub(super) roster_changed: bool,
     /// Submissions whose final states are to be deleted from the store.
--- a/crates/fleet/src/owner/owner_settings.rs
+++ b/crates/fleet/src/owner/owner_settings.rs
@@ -9,13 +9,14 @@
     /// Duration of task leases, in milliseconds of the upstream's clock; at most what upstreams
     /// grant.
     pub task_lease_ms: u64,
-    /// Longest lease that an upstream grants, in milliseconds of its clock; it shortens longer ones.
+    /// Longest lease that an upstream grants, in milliseconds of its clock; it shortens longer
+    /// ones.
     pub max_lease_ms: u64,
     /// Time by which every lease has expired since the owner last confirmed its ownership with a
     /// commit, in milliseconds of its own clock.
     pub lease_bound_ms: u64,
-    /// The same while no host that could succeed the owner reaches the store, in milliseconds. Leases
-    /// then survive longer outages.
+    /// The same while no host that could succeed the owner reaches the store, in milliseconds.
+    /// Leases then survive longer outages.
     pub extended_lease_bound_ms: u64,
     /// How long an upstream may delay its reply to a renewal until a run finishes, in milliseconds.
     pub renewal_wait_ms: u64,
@@ -46,9 +47,9 @@
 }
 
 impl OwnerSettings {
-    /// Returns the time without a stored commit after which the longer bound on leases may apply, in
-    /// milliseconds. A host that reaches the store again later still waits for long enough with the
-    /// shorter bound.
+    /// Returns the time without a stored commit after which the longer bound on leases may apply,
+    /// in milliseconds. A host that reaches the store again later still waits for long enough with
+    /// the shorter bound.
     #[must_use]
     pub fn lease_extension_delay_ms(&self) -> u64 {
         self.extended_lease_bound_ms - self.lease_bound_ms
--- a/crates/fleet/src/owner/recovery.rs
+++ b/crates/fleet/src/owner/recovery.rs
@@ -17,8 +17,8 @@
     LeaseTerm, OwnerEffect, OwnerMachine, RecoveryBound, ReleaseCause, UnlistedReport,
 };
 
-/// Minimum time for which a new owner waits for the first list of an upstream, in milliseconds. Finished
-/// runs are listed although all leases have expired.
+/// Minimum time for which a new owner waits for the first list of an upstream, in milliseconds.
+/// Finished runs are listed although all leases have expired.
 const FIRST_LIST_WAIT_MS: u64 = 2500;
 
 /// An upstream that may hold leases.
@@ -39,8 +39,8 @@
     /// this is set.
     #[serde(default)]
     pub lease_bound: Option<LeaseBound>,
-    /// Time within which the leases expire that orders to its former incarnations may have granted, in
-    /// milliseconds from any time after the roster was written.
+    /// Time within which the leases expire that orders to its former incarnations may have granted,
+    /// in milliseconds from any time after the roster was written.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub former_lease_ms: Option<u64>,
     /// Expiry of its leases by the wall clock of a host of an earlier version, which set it only
@@ -109,8 +109,8 @@
     /// Time by which every lease of earlier owners has expired, in milliseconds on the new owner's
     /// clock; `None` if it does not follow from their last commits.
     pub leases_expire_by: Option<u64>,
-    /// Whether that time allows for longer leases, which the last owner may have granted while no host
-    /// reached the store.
+    /// Whether that time allows for longer leases, which the last owner may have granted while no
+    /// host reached the store.
     pub leases_may_be_extended: bool,
     /// When the new owner requested its claim, in milliseconds on its clock.
     pub claim_requested_at: u64,
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -85,9 +85,9 @@
         due.max(now)
     }
 
-    /// Releases the runs of silent upstreams whose leases have all expired, and removes the empty ones of such
-    /// upstreams if the directory no longer lists them. Upstreams that answered within the last
-    /// 1000 ms are skipped.
+    /// Releases the runs of silent upstreams whose leases have all expired, and removes the empty
+    /// ones of such upstreams if the directory no longer lists them. Upstreams that answered within
+    /// the last 1000 ms are skipped.
     fn expire_leases(&mut self, now: u64) {
         let expired: Vec<_> = self
             .upstreams
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -73,7 +73,8 @@
     /// Whether it runs until it is stopped.
     pub long_running: bool,
     /// Time at which the run was planned, first ordered or adopted, whichever is last. For a run
-    /// restored from the store, 0 until the upstream lists it, and then estimated from its progress.
+    /// restored from the store, 0 until the upstream lists it, and then estimated from its
+    /// progress.
     pub ordered_at: u64,
     /// Whether this owner did not order the run, so that it does not know how long it has taken.
     pub inherited: bool,
@@ -174,8 +175,8 @@
     pub clock: Option<ClockReading>,
     /// Orders sent since the last answer that rest on what the upstream said then.
     pub assumptions: SentAssumptions,
-    /// Fencing token of orders to the upstream: the owner's epoch, or the revision of a later commit of
-    /// it, so that it is below the epoch of every later owner.
+    /// Fencing token of orders to the upstream: the owner's epoch, or the revision of a later
+    /// commit of it, so that it is below the epoch of every later owner.
     pub fence: u64,
     /// Fencing token of the last renewal.
     pub renewal_fence: u64,
@@ -242,8 +243,8 @@
     pub unknown_runs: u32,
 }
 
-/// Returns the time by which a lease has expired whose duration on the upstream's clock is counted from
-/// a time at the latest.
+/// Returns the time by which a lease has expired whose duration on the upstream's clock is counted
+/// from a time at the latest.
 pub(super) fn latest_expiry(from: u64, duration_ms: u64) -> u64 {
     from + duration_ms * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS
 }
@@ -424,15 +425,16 @@
         true
     }
 
-    /// Returns the start of the incarnation that a successor must know of: the one that this owner's
-    /// orders are meant for, so that the successor notices if it has ended, or else the reported one.
+    /// Returns the start of the incarnation that a successor must know of: the one that this
+    /// owner's orders are meant for, so that the successor notices if it has ended, or else the
+    /// reported one.
     pub fn stored_incarnation(&self) -> u64 {
         self.runs_incarnation
             .unwrap_or(self.report.incarnation_unix_ms)
     }
 
-    /// Returns the runs that have ended once `leases_expire_at` has passed, and records them as possible
-    /// victims of a crash. Runs whose start got no answer may be on a later incarnation.
+    /// Returns the runs that have ended once `leases_expire_at` has passed, and records them as
+    /// possible victims of a crash. Runs whose start got no answer may be on a later incarnation.
     pub fn take_expired_runs(&mut self, now: u64) -> Vec<TaskName> {
         let is_later = now < self.former_leases_until;
         let ended = self
@@ -451,8 +453,9 @@
         self.runs.values().any(|run| run.urgent)
     }
 
-    /// Returns the number up to which the next renewal acknowledges finished runs; 0 for none. It names
-    /// none that are forgotten already, because another incarnation would take them for its own.
+    /// Returns the number up to which the next renewal acknowledges finished runs; 0 for none. It
+    /// names none that are forgotten already, because another incarnation would take them for its
+    /// own.
     pub fn due_ack(&self) -> u64 {
         if self.doubt.is_none() && self.ack_number > self.confirmed_ack {
             self.ack_number
--- a/crates/fleet/tests/fleet/held_runs.rs
+++ b/crates/fleet/tests/fleet/held_runs.rs
@@ -44,8 +44,8 @@
 /// when.
 #[test]
 fn silent_upstream_after_takeover_is_reported_until_its_runs_are_released() {
-    // Arguments: how long the runs are held, and how much of the bound on leases is left 110 ms after
-    // the last commit, in milliseconds; `None` if the predecessor does not bound its leases.
+    // Arguments: how long the runs are held, and how much of the bound on leases is left 110 ms
+    // after the last commit, in milliseconds; `None` if the predecessor does not bound its leases.
     for (held_for_ms, commit_bound_ms) in [(12_426, None), (8390, Some(8390))] {
         let (mut simulation, upstream) = fleet_with_long_running_task();
         simulation.partitioned.insert(upstream.clone(), u64::MAX);
--- a/crates/fleet/tests/fleet/invariant_checks.rs
+++ b/crates/fleet/tests/fleet/invariant_checks.rs
@@ -44,8 +44,9 @@
     }
 
     /// Checks the finished runs that an upstream forgets when it executes a renewal: an owner has
-    /// seen each of them in a reply, the store has the change of each that was done, and no other run
-    /// of its task has begun since. Only the first applies if the leases have expired in between.
+    /// seen each of them in a reply, the store has the change of each that was done, and no other
+    /// run of its task has begun since. Only the first applies if the leases have expired in
+    /// between.
     pub(crate) fn check_forgotten(&mut self, order: &RenewOrder) {
         let Some(upstream) = self.upstreams.get_mut(&order.upstream) else {
             return;
@@ -144,8 +145,8 @@
         violations
     }
 
-    /// Checks that a run that an upstream begins, whenever it was ordered, is not of a task recorded
-    /// in `acknowledged_tasks` or of a submission that is completed.
+    /// Checks that a run that an upstream begins, whenever it was ordered, is not of a task
+    /// recorded in `acknowledged_tasks` or of a submission that is completed.
     pub(crate) fn check_begun_run(&mut self, order: &StartOrder) {
         let progress = self.progress.get(&order.task.submission);
         let completed =
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -52,7 +52,8 @@
         found.is_some()
     }
 
-    /// Delays or intercepts a renewal or a stop order, which the incarnation that lives then executes.
+    /// Delays or intercepts a renewal or a stop order, which the incarnation that lives then
+    /// executes.
     pub(crate) fn delay_order(&mut self, id: &Arc<str>, epoch: u64, late: Message) -> bool {
         let kind = match &late {
             Message::LateRenew(order) if order.ack_number > 0 => OrderKind::Acknowledgement,
@@ -85,8 +86,8 @@
         Some(upstream.renew_and_report(self.now, order).ok_or(()))
     }
 
-    /// Records that an upstream has executed a renewal, if it was sent in the lifetime of the present
-    /// incarnation.
+    /// Records that an upstream has executed a renewal, if it was sent in the lifetime of the
+    /// present incarnation.
     pub(crate) fn record_contact(&mut self, id: &Arc<str>, sent_at: u64) {
         if let Some(upstream) = self.upstreams.get(id)
             && sent_at >= upstream.clock_started_at
--- a/crates/fleet/tests/fleet/lease_expiry.rs
+++ b/crates/fleet/tests/fleet/lease_expiry.rs
@@ -105,8 +105,8 @@
     (commits, deadlines)
 }
 
-/// Guards against granting leases while the store still says that the upstream is silent: it answers
-/// while the commit that says so is being stored.
+/// Guards against granting leases while the store still says that the upstream is silent: it
+/// answers while the commit that says so is being stored.
 #[test]
 fn no_lease_is_granted_while_the_stored_roster_bounds_the_leases() {
     let (mut owner, recovered) = owner_and_stored_run();
--- a/crates/fleet/tests/fleet/lost_owner.rs
+++ b/crates/fleet/tests/fleet/lost_owner.rs
@@ -9,15 +9,16 @@
 use crate::fixtures::{config, queue, step, submission, ticketed_queue};
 use crate::simulation::{FaultRates, FleetSimulation, RandomSource};
 
-/// Maximum time without a run after the owner is lost, in milliseconds: hosts count as calm 3 s after
-/// a disruption, and a task may then be away for the 4 s before and the 3 s in which it is missed.
+/// Maximum time without a run after the owner is lost, in milliseconds: hosts count as calm 3 s
+/// after a disruption, and a task may then be away for the 4 s before and the 3 s in which it is
+/// missed.
 const RESTART_TARGET_MS: u64 = 3000 + 4000 + 3000;
 
 /// Time from the loss of an owner until its successor has recovered, in milliseconds.
 const TAKEOVER_MS: u64 = 1900;
 
-/// Returns a fleet of three upstreams with slow clocks and a long-running submission to a queue, and an
-/// upstream that runs one of its tasks.
+/// Returns a fleet of three upstreams with slow clocks and a long-running submission to a queue,
+/// and an upstream that runs one of its tasks.
 fn fleet_with_long_running_task(policy: &QueuePolicy) -> (FleetSimulation, Arc<str>) {
     let long_running = StepSpec {
         long_running: true,
@@ -26,8 +27,8 @@
     fleet_with_task(policy, long_running)
 }
 
-/// Returns a fleet of three upstreams with slow clocks and a submission of one step to a queue, and an
-/// upstream that runs one of its tasks.
+/// Returns a fleet of three upstreams with slow clocks and a submission of one step to a queue, and
+/// an upstream that runs one of its tasks.
 fn fleet_with_task(policy: &QueuePolicy, step: StepSpec) -> (FleetSimulation, Arc<str>) {
     let mut simulation =
         FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 3);
@@ -87,8 +88,8 @@
     upstreams.map(|upstream| upstream.runs.len()).sum()
 }
 
-/// Guards against long-running tasks that stay away for 14 s because the times in which the lost owner
-/// may have acted and in which its last leases expire add up.
+/// Guards against long-running tasks that stay away for 14 s because the times in which the lost
+/// owner may have acted and in which its last leases expire add up.
 #[test]
 fn long_running_task_returns_after_its_upstream_and_the_owner_are_lost_together() {
     let (mut simulation, upstream) = fleet_with_long_running_task(&ticketed_queue("watch", 1));
@@ -103,8 +104,8 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
-/// Guards against long-running tasks that wait for the policy service after their runs are released,
-/// and against starting them before.
+/// Guards against long-running tasks that wait for the policy service after their runs are
+/// released, and against starting them before.
 #[test]
 fn long_running_task_starts_as_soon_as_its_run_is_released() {
     let (mut simulation, upstream) = fleet_with_long_running_task(&ticketed_queue("watch", 1));
@@ -139,8 +140,8 @@
     assert_eq!(run_count(&simulation), 2);
 }
 
-/// Guards against starting a task again while the previous owner, cut off beside its upstream, still
-/// renews its lease there.
+/// Guards against starting a task again while the previous owner, cut off beside its upstream,
+/// still renews its lease there.
 #[test]
 fn upstream_that_is_cut_off_with_the_previous_owner_runs_no_task_twice() {
     for seed in 0..96 {
@@ -171,8 +172,8 @@
     }
 }
 
-/// Guards against leases that last beyond what a successor waits for, because the owner keeps renewing
-/// them while its commits fail.
+/// Guards against leases that last beyond what a successor waits for, because the owner keeps
+/// renewing them while its commits fail.
 #[test]
 fn leases_expire_after_the_last_commit_although_the_owner_renews_them() {
     let (mut simulation, upstream) = fleet_with_long_running_task(&queue("watch", 1));
@@ -243,8 +244,8 @@
     }
 }
 
-/// Guards against long-running tasks that stay away because the policy service is asked about them only
-/// after the wait for the leases, and the hosts ask one query at a time.
+/// Guards against long-running tasks that stay away because the policy service is asked about them
+/// only after the wait for the leases, and the hosts ask one query at a time.
 #[test]
 fn long_running_tasks_of_many_submissions_return_after_the_owner_is_lost_with_their_upstreams() {
     let policy = ticketed_queue("watch", 1);
@@ -286,8 +287,8 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
-/// Guards against running a finished task again because a late successor releases every run before the
-/// first list of its upstream arrives.
+/// Guards against running a finished task again because a late successor releases every run before
+/// the first list of its upstream arrives.
 #[test]
 fn late_successor_reads_the_lists_before_it_releases_runs() {
     let policy = queue("maps", 1);
--- a/crates/fleet/tests/fleet/promises.rs
+++ b/crates/fleet/tests/fleet/promises.rs
@@ -158,8 +158,8 @@
     Ok(())
 }
 
-/// Returns the configuration of a property test. `PROPTEST_CASES` and `PROPTEST_RNG_SEED` override the
-/// number of histories and the seed.
+/// Returns the configuration of a property test. `PROPTEST_CASES` and `PROPTEST_RNG_SEED` override
+/// the number of histories and the seed.
 fn property_config(seed: u64) -> ProptestConfig {
     ProptestConfig {
         failure_persistence: None,
@@ -207,8 +207,8 @@
 proptest! {
     #![proptest_config(property_config(0x51a9))]
 
-    /// Guards against starting finished tasks again while upstreams list only some of their finished
-    /// runs at a time.
+    /// Guards against starting finished tasks again while upstreams list only some of their
+    /// finished runs at a time.
     #[test]
     fn promise_truncated_lists_hide_no_run((seed, faults, events) in histories(history_event())) {
         let mut simulation = new_simulation(seed, faults);
--- a/crates/fleet/tests/fleet/recovery.rs
+++ b/crates/fleet/tests/fleet/recovery.rs
@@ -310,8 +310,8 @@
     }
 }
 
-/// Guards against starting the tasks of a draining upstream twice because another writer has made its
-/// directory entry unreadable, which says nothing about the upstream.
+/// Guards against starting the tasks of a draining upstream twice because another writer has made
+/// its directory entry unreadable, which says nothing about the upstream.
 #[test]
 fn unreadable_entry_is_no_departure() {
     let (mut simulation, upstream) = fleet_with_draining_upstream(11);
--- a/crates/fleet/tests/fleet/restart_histories.rs
+++ b/crates/fleet/tests/fleet/restart_histories.rs
@@ -146,8 +146,8 @@
     check_histories(false, 0);
 }
 
-/// Guards against the same where no start for a former incarnation is the first order to reach the new
-/// one.
+/// Guards against the same where no start for a former incarnation is the first order to reach the
+/// new one.
 #[test]
 fn no_task_runs_twice_after_new_incarnations_were_contacted() {
     check_histories(true, 0);
--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -121,8 +121,8 @@
     simulation.take_over();
 }
 
-/// Guards against a longer lease than the owner counts: a renewal with the former incarnation's clock
-/// reaches the new one.
+/// Guards against a longer lease than the owner counts: a renewal with the former incarnation's
+/// clock reaches the new one.
 #[test]
 fn renewal_after_restart_extends_no_lease_beyond_the_bound() {
     let mut simulation = fleet_with_long_task(&patient_queue());
@@ -189,8 +189,8 @@
     assert_eq!(run_count(&simulation, "u1"), 1);
 }
 
-/// Guards against finished runs of the new incarnation that are forgotten by the number that the owner
-/// has acknowledged to the former one.
+/// Guards against finished runs of the new incarnation that are forgotten by the number that the
+/// owner has acknowledged to the former one.
 #[test]
 fn next_renewal_after_restart_forgets_no_finished_run() {
     let policy = patient_queue();
@@ -229,8 +229,8 @@
     assert_eq!(simulation.state_of("s2"), Some(SubmissionState::Completed));
 }
 
-/// Guards against the same by a renewal that is on its way during the restart and has nothing new to
-/// acknowledge.
+/// Guards against the same by a renewal that is on its way during the restart and has nothing new
+/// to acknowledge.
 #[test]
 fn renewal_during_restart_forgets_no_finished_run() {
     let policy = patient_queue();
@@ -267,7 +267,8 @@
     assert_tasks_move_after_cut(&mut simulation);
 }
 
-/// Starts a task on `u0` by an order that is executed late, restarts `u0`, and lets the task start on
+/// Starts a task on `u0` by an order that is executed late, restarts `u0`, and lets the task start
+/// on
 /// `u1`.
 fn fleet_with_late_start(run_ms: u64) -> FleetSimulation {
     let policy = patient_queue();
@@ -359,7 +360,8 @@
     }
 }
 
-/// Returns a fleet whose start order for `s1` gets no answer before `u0` is cut off, and the time at which
+/// Returns a fleet whose start order for `s1` gets no answer before `u0` is cut off, and the time
+/// at which
 /// `u0` is back.
 fn fleet_with_unanswered_start(cut_ms: u64) -> (FleetSimulation, u64) {
     let policy = patient_queue();
@@ -384,8 +386,8 @@
         .count()
 }
 
-/// Guards against granting a lease by a repeated start while the store still bounds the leases of the
-/// upstream as those of a silent one.
+/// Guards against granting a lease by a repeated start while the store still bounds the leases of
+/// the upstream as those of a silent one.
 #[test]
 fn start_is_not_repeated_on_an_upstream_that_was_recorded_as_silent() {
     let (mut simulation, back_at) = fleet_with_unanswered_start(3500);
@@ -435,8 +437,8 @@
     simulation
 }
 
-/// Guards against counting a lease by the former incarnation's clock although the answer to the start
-/// shows the new one's.
+/// Guards against counting a lease by the former incarnation's clock although the answer to the
+/// start shows the new one's.
 #[test]
 fn start_answered_by_new_incarnation_extends_no_lease_beyond_the_bound() {
     let mut simulation = fleet_with_start_after_restart(true);
@@ -469,8 +471,8 @@
     }
 }
 
-/// Guards against a start for the former incarnation that the new one executes before it has answered
-/// any order, while the task runs elsewhere.
+/// Guards against a start for the former incarnation that the new one executes before it has
+/// answered any order, while the task runs elsewhere.
 #[test]
 fn late_start_before_the_first_answer_runs_no_task_beside_another_run() {
     let policy = patient_queue();
@@ -492,8 +494,8 @@
     assert_eq!(run_count(&simulation, "u1"), 1);
 }
 
-/// Guards against fencing tokens that do not tell two restarts apart because nothing is stored between
-/// them.
+/// Guards against fencing tokens that do not tell two restarts apart because nothing is stored
+/// between them.
 #[test]
 fn late_renewal_between_restarts_in_an_outage_extends_no_lease_beyond_the_bound() {
     let mut simulation = fleet_with_long_task(&patient_queue());
@@ -519,8 +521,8 @@
     assert_tasks_move_after_cut(&mut simulation);
 }
 
-/// Guards against a successor that counts its own leases alone, although the new incarnation executed a
-/// renewal of the lost owner before it answered the successor.
+/// Guards against a successor that counts its own leases alone, although the new incarnation
+/// executed a renewal of the lost owner before it answered the successor.
 #[test]
 fn renewal_of_lost_owner_after_restart_extends_no_lease_beyond_the_bound() {
     let mut simulation = fleet_with_long_task(&patient_queue());
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -119,11 +119,11 @@
     pub previous: Option<(OwnerMachine, u64)>,
     /// Whether the last owner was lost, so that it does not confirm that it stepped down.
     pub predecessor_lost: bool,
-    /// Upstreams that are cut off together with the previous owner, which reaches neither others nor
-    /// the store.
+    /// Upstreams that are cut off together with the previous owner, which reaches neither others
+    /// nor the store.
     pub cut_off_with_previous: BTreeSet<Arc<str>>,
-    /// Bound on the leases of the previous owner for which a new one waits, in milliseconds; `None` if
-    /// it does not bound them.
+    /// Bound on the leases of the previous owner for which a new one waits, in milliseconds; `None`
+    /// if it does not bound them.
     pub previous_lease_bound_ms: Option<u64>,
     /// Upstreams whose next order of a kind is intercepted.
     pub(crate) to_intercept: Vec<(Arc<str>, OrderKind)>,
--- a/crates/host/src/control/control_messages.rs
+++ b/crates/host/src/control/control_messages.rs
@@ -22,8 +22,8 @@
     pub recovered: RecoveredState,
     /// Until when the host may act as owner, in milliseconds of its clock.
     pub valid_until: u64,
-    /// The recovered state has every submission that was stored before this time, in milliseconds of
-    /// the host's clock.
+    /// The recovered state has every submission that was stored before this time, in milliseconds
+    /// of the host's clock.
     pub known_until: u64,
 }
 
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -65,8 +65,8 @@
     /// The settings file was read and validated again after SIGHUP; the running host keeps its
     /// settings.
     SettingsReloaded = 1003, Info;
-    /// How long each kind of work kept the thread busy, and how late its timers fired, since the last
-    /// such line; written by the owner, and by hosts that are busy for over half of the time.
+    /// How long each kind of work kept the thread busy, and how late its timers fired, since the
+    /// last such line; written by the owner, and by hosts that are busy for over half of the time.
     WorkReport = 1004, Info;
     /// The store does not respond to this host.
     StoreLost = 1010, Warn;
@@ -146,8 +146,8 @@
     DrainingUpstreamUnlisted = 1067, Info;
     /// A delegate gave no receipt or no outcome in time; the owner sends its renewals itself.
     DelegateGivenUp = 1068, Warn;
-    /// Another incarnation of an upstream answers; says which orders it may have got that were meant
-    /// for the one before.
+    /// Another incarnation of an upstream answers; says which orders it may have got that were
+    /// meant for the one before.
     UpstreamRestarted = 1069, Warn;
     /// A commit of progress failed or its outcome is unknown.
     CommitFailed = 1070, Warn;
@@ -155,8 +155,8 @@
     SubmissionEnded = 1071, Info;
     /// An upstream has forgotten finished runs that the owner has not seen.
     FinishedRunsMissing = 1072, Error;
-    /// It is known again which incarnation of an upstream executes orders; nothing was started there
-    /// meanwhile.
+    /// It is known again which incarnation of an upstream executes orders; nothing was started
+    /// there meanwhile.
     IncarnationChecked = 1073, Info;
 }
 
--- a/crates/host/src/forward/delegate_gate.rs
+++ b/crates/host/src/forward/delegate_gate.rs
@@ -38,8 +38,8 @@
         admitted
     }
 
-    /// Returns whether a renewal may be sent at `now`. That an upstream has rejected another one of the
-    /// epoch does not matter: the token that it had seen may be a later one of the same owner.
+    /// Returns whether a renewal may be sent at `now`. That an upstream has rejected another one of
+    /// the epoch does not matter: the token that it had seen may be a later one of the same owner.
     #[must_use]
     pub fn may_send(&self, now: u64, known_epoch: u64, epoch: u64, expires_at: u64) -> bool {
         now < expires_at && epoch >= known_epoch && epoch >= self.newest_epoch
--- a/crates/host/src/forward/renewal_forwarder.rs
+++ b/crates/host/src/forward/renewal_forwarder.rs
@@ -319,8 +319,8 @@
         }
     }
 
-    /// Takes the renewals that the owner must send itself now. They only ask for a list, and do not wait
-    /// for a run to finish.
+    /// Takes the renewals that the owner must send itself now. They only ask for a list, and do not
+    /// wait for a run to finish.
     pub fn take_retries(&mut self) -> Vec<RenewOrder> {
         std::mem::take(&mut self.retries)
     }
@@ -360,9 +360,9 @@
         }
     }
 
-    /// Makes the owner send a renewal itself, and the next ones of its upstream. This one grants and
-    /// acknowledges nothing: another incarnation may answer by now, and the order's terms rest on what
-    /// the one before said.
+    /// Makes the owner send a renewal itself, and the next ones of its upstream. This one grants
+    /// and acknowledges nothing: another incarnation may answer by now, and the order's terms rest
+    /// on what the one before said.
     fn retry(&mut self, now: u64, number: u64) {
         if let Some(pending) = self.take_pending(number) {
             self.direct_until
--- a/crates/host/src/ownership/departures.rs
+++ b/crates/host/src/ownership/departures.rs
@@ -2,8 +2,8 @@
 //!
 //! A draining upstream whose entry is deleted less than two report intervals after its last report
 //! has left: an entry without reports expires only after three. The store's history has both events
-//! with their revisions but without times. This host's log of revisions bounds the times: from below
-//! for the report, and from above for the deletion.
+//! with their revisions but without times. This host's log of revisions bounds the times: from
+//! below for the report, and from above for the deletion.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -121,8 +121,8 @@
 /// its history shows that an incarnation, or a later one, has left; `None` if the history shows
 /// nothing. Upstreams report every `report_interval_ms` milliseconds.
 ///
-/// A later incarnation may run before it has reported, so the departure of an earlier one says nothing
-/// about it.
+/// A later incarnation may run before it has reported, so the departure of an earlier one says
+/// nothing about it.
 #[must_use]
 pub fn departure_report_age_ms(
     history: &[StoreItem],
--- a/crates/host/src/ports/upstream_port.rs
+++ b/crates/host/src/ports/upstream_port.rs
@@ -13,7 +13,8 @@
 pub enum RenewOutcome {
     /// The upstream responded.
     Answered(RenewReply),
-    /// The upstream has seen a higher fencing token, from another owner or a later one from this owner.
+    /// The upstream has seen a higher fencing token, from another owner or a later one from this
+    /// owner.
     Fenced,
     /// Another incarnation responds at the address.
     OtherIncarnation,
--- a/crates/host/tests/host/clock_readings.rs
+++ b/crates/host/tests/host/clock_readings.rs
@@ -62,7 +62,8 @@
         })
     }
 
-    /// Returns ports whose answers to start orders have a reading of the clock that is made by `clock`.
+    /// Returns ports whose answers to start orders have a reading of the clock that is made by
+    /// `clock`.
     fn ports(&self, store: &FakeStore, clock: fn() -> u64) -> PlatformPorts {
         let (starting, renewing) = (self.clone(), self.clone());
         PlatformPorts {
@@ -91,7 +92,8 @@
         }
     }
 
-    /// Returns whether a renewal after the first start grants nothing; waits until `count` were sent.
+    /// Returns whether a renewal after the first start grants nothing; waits until `count` were
+    /// sent.
     async fn questions_among(&self, count: usize) -> Option<usize> {
         for _ in 0..MAX_POLLS {
             let renewals = self.renewals.lock().expect("renewals lock").clone();
@@ -214,8 +216,8 @@
         .await;
 }
 
-/// Guards against leases on the clock of a former incarnation although the answer to a start has shown
-/// that the upstream has started again.
+/// Guards against leases on the clock of a former incarnation although the answer to a start has
+/// shown that the upstream has started again.
 #[tokio::test]
 async fn start_answer_with_an_earlier_clock_stops_grants_until_the_next_list() {
     let upstream = FakeUpstream::default();
--- a/crates/host/tests/host/departures.rs
+++ b/crates/host/tests/host/departures.rs
@@ -108,8 +108,8 @@
     assert_eq!(report_age_ms(&after_the_log, 3500), None);
 }
 
-/// Guards against releasing runs of an incarnation that has started since and has not reported yet: the
-/// one before has left, and its successor runs on.
+/// Guards against releasing runs of an incarnation that has started since and has not reported yet:
+/// the one before has left, and its successor runs on.
 #[test]
 fn departure_of_an_earlier_incarnation_is_none_of_a_later_one() {
     let history = [written(KEY, 10, "draining"), deleted(KEY, 15)];
--- a/crates/host/tests/host/forwarding.rs
+++ b/crates/host/tests/host/forwarding.rs
@@ -208,7 +208,8 @@
     );
 }
 
-/// A delegate that confirms batches but reports nothing must be given up when an outcome is overdue.
+/// A delegate that confirms batches but reports nothing must be given up when an outcome is
+/// overdue.
 #[test]
 fn silent_delegate_is_given_up_when_an_outcome_is_overdue() {
     let mut forwarder = ready_forwarder();
@@ -249,8 +250,8 @@
     assert_eq!(next, Some(order(0)));
 }
 
-/// Guards against an upstream that starts again while its renewal is with a delegate, and gets a lease
-/// on the clock of its former incarnation, or forgets finished runs that nobody has seen.
+/// Guards against an upstream that starts again while its renewal is with a delegate, and gets a
+/// lease on the clock of its former incarnation, or forgets finished runs that nobody has seen.
 #[test]
 fn repeated_renewal_grants_and_acknowledges_nothing() {
     let dropped = DelegatedOutcome::Dropped;
@@ -290,8 +291,8 @@
     assert_eq!(after_failure, [question(0)], "no answer");
 }
 
-/// The owner must be told which of its tokens an upstream has rejected, and decides whether that was a
-/// later one of its own.
+/// The owner must be told which of its tokens an upstream has rejected, and decides whether that
+/// was a later one of its own.
 #[test]
 fn rejected_renewal_is_settled_with_its_token() {
     let mut forwarder = ready_forwarder();
--- a/crates/host/tests/host/peer_messages.rs
+++ b/crates/host/tests/host/peer_messages.rs
@@ -114,8 +114,8 @@
     Deserializer::deserialize(Pin::new(&mut codec), &bytes).expect("the message can be decoded")
 }
 
-/// Guards against a rolling upgrade in which delegates of an earlier version can't read renewals, or
-/// send them with the epoch in place of the fencing token.
+/// Guards against a rolling upgrade in which delegates of an earlier version can't read renewals,
+/// or send them with the epoch in place of the fencing token.
 #[test]
 fn forwarded_renewal_keeps_the_form_of_earlier_versions() {
     let bytes = encode(&batch(40, 45));
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -503,8 +503,8 @@
         (duration.max(1.0) as u64, end)
     }
 
-    /// Returns the lowest speed in a pool. The members of a gang end together, so they are assumed to
-    /// take as long as they would there.
+    /// Returns the lowest speed in a pool. The members of a gang end together, so they are assumed
+    /// to take as long as they would there.
     fn slowest_speed(&self, pool: &str) -> f64 {
         let mut pools = self.settings.mix.pools.iter();
         let speeds = pools
--- a/crates/model/src/simulated_upstream.rs
+++ b/crates/model/src/simulated_upstream.rs
@@ -39,8 +39,8 @@
     pub id: Arc<str>,
     /// Start of the present incarnation, in milliseconds since the Unix epoch.
     pub incarnation_unix_ms: u64,
-    /// Start of the incarnation before, which the directory lists until the present one has reported;
-    /// the present one if there was none.
+    /// Start of the incarnation before, which the directory lists until the present one has
+    /// reported; the present one if there was none.
     pub former_incarnation_unix_ms: u64,
     /// Entry in the directory.
     pub report: UpstreamReport,
@@ -222,8 +222,9 @@
         checkpoint.and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 
-    /// Handles an order to start a run; `run` is its duration in milliseconds and how it finishes. An
-    /// order that is rejected extends the leases all the same, unless its fencing token is too low.
+    /// Handles an order to start a run; `run` is its duration in milliseconds and how it finishes.
+    /// An order that is rejected extends the leases all the same, unless its fencing token is too
+    /// low.
     pub fn start(
         &mut self,
         now: u64,
