--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -23,6 +23,7 @@
 mod recovery;
 mod restart_histories;
 mod restarted_upstreams;
+mod review_checks;
 mod scheduling;
 mod simulation;
 mod ticks;
