--- a/crates/fleet/tests/fleet/review_checks.rs
+++ b/crates/fleet/tests/fleet/review_checks.rs
@@ -88,3 +88,91 @@
 fn lagoon_domain(_simulation: &FleetSimulation) -> std::sync::Arc<str> {
     crate::fixtures::report("u0").failure_domain
 }
+
+/// Guards against acknowledging to another incarnation after a renewal without an answer, because a start
+/// was answered between the renewal and the restart.
+#[test]
+fn renewal_without_answer_raises_a_doubt_although_a_start_was_answered_meanwhile() {
+    let policy = policy();
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1600);
+    simulation.run_ms = Some(150);
+    simulation.submit(&submission("s1", &policy, vec![step(3)]));
+    simulation.intercept_next("u0", OrderKind::Acknowledgement);
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.run_ms = Some(60_000);
+    simulation.submit(&submission("s2", &policy, vec![step(1)]));
+    let end = simulation.now + 500;
+    while simulation.upstreams["u0"].runs.is_empty() {
+        assert!(simulation.now < end, "no start");
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.run_until(simulation.now + 10);
+
+    simulation.directory_unreadable_until = simulation.now + 1400;
+    simulation.restart_upstream("u0");
+    simulation.run_ms = Some(150);
+    simulation.intercept_next("u0", OrderKind::Start);
+    simulation.submit(&submission("s3", &policy, vec![step(1)]));
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.intercepted.remove(0);
+    simulation.execute_intercepted();
+    simulation.run_until(simulation.now + 8000);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
+/// Guards against granting by the former incarnation's clock after the same.
+#[test]
+fn renewal_without_answer_stops_grants_although_a_start_was_answered_meanwhile() {
+    let policy = policy();
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.clock_speed_per_mille = 980;
+    }
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1600);
+    simulation.run_ms = Some(60_000);
+    simulation.submit(&submission("s1", &policy, vec![step(1)]));
+    simulation.run_until(simulation.now + 500);
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.submit(&submission("s2", &policy, vec![step(1)]));
+    while simulation.upstreams["u0"].runs.len() < 2 {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.run_until(simulation.now + 10);
+
+    simulation.directory_unreadable_until = simulation.now + 60_000;
+    simulation.restart_upstream("u0");
+    simulation.intercept_next("u0", OrderKind::Start);
+    simulation.submit(&submission("s3", &policy, vec![step(1)]));
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.intercepted.remove(0);
+    simulation.execute_intercepted();
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.execute_intercepted();
+    simulation.partitioned.insert("u0".into(), u64::MAX);
+    let now = simulation.now;
+    simulation.cut_off_from_store.insert("u0".into(), now);
+    simulation
+        .upstreams
+        .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+    simulation.run_until(simulation.now + 16_000);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
