--- a/crates/fleet/tests/fleet/review_checks.rs
+++ b/crates/fleet/tests/fleet/review_checks.rs
@@ -176,3 +176,39 @@
 
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
+
+/// Guards against releasing a confirmed run that the new incarnation began on an earlier start order that got
+/// no reply.
+#[test]
+fn run_with_two_start_orders_is_held_for_a_listed_incarnation() {
+    let policy = policy();
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.clock_speed_per_mille = 980;
+    }
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1600);
+    simulation.run_ms = Some(60_000);
+    simulation.intercept_next("u0", OrderKind::Start);
+    simulation.submit(&submission("s1", &policy, vec![step(1)]));
+    while simulation.upstreams["u0"].runs.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.run_until(simulation.now + 300);
+    assert_eq!(simulation.started.len(), 2);
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.restart_upstream("u0");
+    simulation.execute_intercepted();
+    assert_eq!(simulation.upstreams["u0"].runs.len(), 1);
+    simulation.partitioned.insert("u0".into(), u64::MAX);
+    simulation
+        .upstreams
+        .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+    simulation.run_until(simulation.now + 16_000);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
