--- a/crates/fleet/src/owner/incarnation_check.rs
+++ b/crates/fleet/src/owner/incarnation_check.rs
@@ -78,7 +78,7 @@
 
 impl UpstreamEntry {
     /// Raises a doubt, or renews it.
-    fn raise_doubt(&mut self, now: u64, reason: DoubtReason) {
+    pub fn raise_doubt(&mut self, now: u64, reason: DoubtReason) {
         let needs_fence = reason == DoubtReason::OtherIncarnation;
         let doubt = self.doubt.get_or_insert(IncarnationDoubt {
             reason,
@@ -91,11 +91,12 @@
         doubt.needs_fence |= needs_fence;
     }
 
-    /// Raises a doubt because an order that was sent at `sent_at` got no answer, unless the
-    /// upstream has answered another one since.
-    pub fn doubt_unanswered(&mut self, now: u64, sent_at: u64, reason: DoubtReason) {
+    /// Raises a doubt because a start order that was sent at `sent_at` got no answer, unless the
+    /// upstream has answered another order since. An upstream on a path that loses answers could
+    /// hardly be used otherwise.
+    pub fn doubt_unanswered_start(&mut self, now: u64, sent_at: u64) {
         if self.answered_at <= sent_at {
-            self.raise_doubt(now, reason);
+            self.raise_doubt(now, DoubtReason::StartUnanswered);
         }
     }
 
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -113,8 +113,7 @@
             entry.silent_since.get_or_insert(now);
             let delay_ms = if is_first { 0 } else { FAILED_RENEWAL_DELAY_MS };
             entry.schedule_renewal(now + delay_ms, &mut self.renewal_queue);
-            let sent_at = entry.renewal_sent_at;
-            entry.doubt_unanswered(now, sent_at, DoubtReason::RenewalUnanswered);
+            entry.raise_doubt(now, DoubtReason::RenewalUnanswered);
         }
         self.extend_isolation(now, upstream);
     }
--- a/crates/fleet/src/owner/order_outcome.rs
+++ b/crates/fleet/src/owner/order_outcome.rs
@@ -8,7 +8,7 @@
 
 use crate::model::{RejectReason, StartOutcome, StopOutcome, TaskName};
 use crate::owner::upstream_entry::{ContactState, RunPhase};
-use crate::owner::{DoubtReason, OwnerEffect, OwnerMachine, StartOrder, StopOrder, StopReason};
+use crate::owner::{OwnerEffect, OwnerMachine, StartOrder, StopOrder, StopReason};
 
 /// Maximum number of start orders for one attempt before it is withdrawn.
 const MAX_START_ORDERS: u32 = 3;
@@ -66,7 +66,7 @@
         if outcome == StartOutcome::NotSent
             && let Some(entry) = self.upstreams.get_mut(&upstream)
         {
-            entry.doubt_unanswered(now, sent_at, DoubtReason::StartUnanswered);
+            entry.doubt_unanswered_start(now, sent_at);
         }
     }
 
@@ -93,7 +93,7 @@
         };
         let sent_at = run.order_sent_at;
         let is_final = run.phase != RunPhase::Starting || run.start_orders >= MAX_START_ORDERS;
-        entry.doubt_unanswered(now, sent_at, DoubtReason::StartUnanswered);
+        entry.doubt_unanswered_start(now, sent_at);
         let is_silent = entry.contact != ContactState::Responsive;
         if is_final || is_silent {
             self.withdraw_start(now, order);
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -205,7 +205,6 @@
             };
             entry.raise_fence(self.newest_revision);
             entry.renewal_in_flight = true;
-            entry.renewal_sent_at = now;
             entry.renewal_fence = entry.fence;
             let ack_number = entry.due_ack();
             let assumptions = &mut entry.assumptions;
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -180,8 +180,6 @@
     pub fence: u64,
     /// Fencing token of the last renewal.
     pub renewal_fence: u64,
-    /// Time at which the last renewal was sent.
-    pub renewal_sent_at: u64,
     /// Whether it is unknown which incarnation executes orders.
     pub doubt: Option<IncarnationDoubt>,
     /// Start orders without an answer, which are repeated when the doubt ends.
@@ -263,7 +261,6 @@
             assumptions: SentAssumptions::default(),
             fence,
             renewal_fence: fence,
-            renewal_sent_at: 0,
             doubt: None,
             deferred_starts: Vec::new(),
             former_leases_until: 0,
--- a/crates/fleet/tests/fleet/review_checks.rs
+++ b/crates/fleet/tests/fleet/deferred_starts.rs
@@ -1,11 +1,11 @@
-//! Deferred start orders.
+//! Start orders without an answer, and doubts beside answered ones.
 
 use std::collections::BTreeSet;
 
 use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec};
 use lagoonnotch_model::SimulatedUpstream;
 
-use crate::fixtures::{config, queue, step, submission};
+use crate::fixtures::{config, queue, report, step, submission};
 use crate::late_orders::OrderKind;
 use crate::simulation::FleetSimulation;
 
@@ -76,7 +76,7 @@
     let count = simulation.started.len();
 
     let config = simulation.config.clone();
-    let domain = lagoon_domain(&simulation);
+    let domain = report("u0").failure_domain;
     if let Some(owner) = simulation.owner.as_mut() {
         owner.set_config(config, BTreeSet::from([domain]));
     }
@@ -85,10 +85,6 @@
     assert_eq!(simulation.started.len(), count);
 }
 
-fn lagoon_domain(_simulation: &FleetSimulation) -> std::sync::Arc<str> {
-    crate::fixtures::report("u0").failure_domain
-}
-
 /// Guards against acknowledging to another incarnation after a renewal without an answer, because a start
 /// was answered between the renewal and the restart.
 #[test]
