Hold runs of which any start order got no answer

Its task then ran twice at the same time.

A run is released at that bound only if its one order was confirmed. run_with_two_start_orders_is_held_for_a_listed_incarnation failed before: "s1.0.0.0 runs on u0 and u1 at 19000".

--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -94,6 +94,11 @@
         self.confirmed_at = Some(now);
     }
 
+    /// Returns whether an order to start the run got no answer and may still be executed.
+    fn has_unanswered_order(&self) -> bool {
+        self.confirmed_at.is_none() || self.start_orders > 1
+    }
+
     /// Returns whether the run is expected to end within a duration, based on its progress.
     fn ends_within(&self, now: u64, within_ms: u64) -> bool {
         if self.phase == RunPhase::Stopping {
@@ -437,7 +442,7 @@
         let ended = self
             .runs
             .iter()
-            .filter(|(_, run)| run.confirmed_at.is_some() || !is_later);
+            .filter(|(_, run)| !is_later || !run.has_unanswered_order());
         let names: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
         let victims = self.crash_victims().into_iter();
         self.expired_runs
