--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -23,6 +23,7 @@
 mod recorded_histories;
 mod recovery;
 mod restart_histories;
+mod review_checks;
 mod restarted_upstreams;
 mod scheduling;
 mod simulation;
