Remember removed upstreams while orders to them may still be executed

Removed upstreams are remembered for 20 s. One that comes back in that time is in doubt, so that its first list bounds its leases and it rejects the orders from before. A successor does not know them; it counts from its own first list.

late_renewal_to_an_upstream_that_is_listed_again_extends_no_lease_beyond_the_bound failed before: "s1.0.0.0 runs on u0 and u1 at 28245".

--- a/crates/fleet/src/owner/incarnation_check.rs
+++ b/crates/fleet/src/owner/incarnation_check.rs
@@ -30,6 +30,9 @@
 /// milliseconds.
 const FENCE_WAIT_MS: u64 = 100;
 
+/// Time for which an order without an answer may still be executed, in milliseconds.
+const MAX_ORDER_DELAY_MS: u64 = 20_000;
+
 /// Why it is not known which incarnation of an upstream executes orders.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DoubtReason {
@@ -285,6 +288,13 @@
         run.is_some_and(|run| run.phase == RunPhase::Starting && run.attempt == order.attempt)
     }
 
+    /// Remembers a removed upstream for as long as orders to it may still be executed.
+    pub(super) fn remember_removed(&mut self, now: u64, upstream: Arc<str>) {
+        self.removed_upstreams
+            .retain(|_, removed_at| now < *removed_at + MAX_ORDER_DELAY_MS);
+        self.removed_upstreams.insert(upstream, now);
+    }
+
     /// Returns whether an upstream may have rejected a fencing token because this owner has used a
     /// higher one there.
     pub(super) fn is_outdated_fence(&self, upstream: &Arc<str>, fence: u64) -> bool {
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -57,6 +57,8 @@
     /// Upstreams that wait for a commit with a revision that is high enough for their fencing
     /// token.
     pub(super) unfenced_upstreams: BTreeSet<Arc<str>>,
+    /// Upstreams that were removed, and when; orders to them may still be executed.
+    pub(super) removed_upstreams: BTreeMap<Arc<str>, u64>,
     /// Revision of the owner's newest stored commit, or its epoch if it is higher.
     pub(super) newest_revision: u64,
     /// Time of the next search for silent upstreams and expired leases.
@@ -134,6 +136,7 @@
             stop_queue: DueQueue::default(),
             uncommitted_upstreams: BTreeSet::new(),
             unfenced_upstreams: BTreeSet::new(),
+            removed_upstreams: BTreeMap::new(),
             newest_revision: epoch,
             next_sweep_at: 0,
             run_count: 0,
@@ -329,6 +332,9 @@
         let mut entry = UpstreamEntry::new(self.next_index(), report, fence);
         entry.schedule_renewal(now, &mut self.renewal_queue);
         entry.report_written_after = written_after;
+        if self.removed_upstreams.remove(&id).is_some() {
+            entry.doubt_other_incarnation(now);
+        }
         self.upstreams.insert(id, entry);
         self.view_cache.clear();
         self.roster_changed = true;
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -120,6 +120,7 @@
                 .is_some_and(|entry| entry.runs.is_empty());
             if is_unlisted && is_empty {
                 self.upstreams.remove(&id);
+                self.remember_removed(now, id);
                 self.view_cache.clear();
                 self.roster_changed = true;
             }
--- a/crates/fleet/tests/fleet/deferred_starts.rs
+++ b/crates/fleet/tests/fleet/unanswered_orders.rs
@@ -1,8 +1,9 @@
-//! Start orders without an answer, and doubts beside answered ones.
+//! Orders without an answer, and what the owner may do until the next one.
 
 use std::collections::BTreeSet;
 
 use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec};
+use lagoonnotch_fleet::owner::OwnerMachine;
 use lagoonnotch_model::SimulatedUpstream;
 
 use crate::fixtures::{config, queue, report, step, submission};
@@ -208,3 +209,50 @@
 
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
+
+/// Guards against a bound that is forgotten with an upstream that the directory no longer lists.
+#[test]
+fn late_renewal_to_an_upstream_that_is_listed_again_extends_no_lease_beyond_the_bound() {
+    let policy = policy();
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.clock_speed_per_mille = 980;
+    }
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1600);
+    simulation.run_ms = Some(60_000);
+    let long = StepSpec {
+        estimate_ms: 60_000,
+        ..step(1)
+    };
+    simulation.submit(&submission("s1", &policy, vec![long]));
+    simulation.run_until(simulation.now + 1000);
+    simulation.intercept_next("u0", OrderKind::Renewal);
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+    let cut_at = simulation.now;
+    simulation.partitioned.insert("u0".into(), cut_at + 9000);
+    simulation.cut_off_from_store.insert("u0".into(), cut_at);
+    simulation.run_until(cut_at + 9000);
+    let count = simulation.owner.as_ref().map(OwnerMachine::upstream_count);
+    assert_eq!(count, Some(0));
+    simulation.restart_upstream("u0");
+    simulation.execute_intercepted();
+    simulation.cut_off_from_store.clear();
+    let end = simulation.now + 4000;
+    while simulation.upstreams["u0"].runs.is_empty() {
+        assert!(simulation.now < end, "no run");
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.partitioned.insert("u0".into(), u64::MAX);
+    let now = simulation.now;
+    simulation.cut_off_from_store.insert("u0".into(), now);
+    simulation
+        .upstreams
+        .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+    simulation.run_until(simulation.now + 16_000);
+
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
