--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -92,7 +92,8 @@
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
-        let delay_ms = if entry.runs.is_empty() && entry.uncommitted.is_empty() {
+        let is_idle = entry.runs.is_empty() && entry.uncommitted.is_empty();
+        let delay_ms = if is_idle && entry.due_ack() == 0 {
             settings.idle_renewal_interval_ms
         } else if any_finished && !entry.has_urgent_runs() {
             settings.batch_renewal_delay_ms
--- a/crates/fleet/tests/fleet/unanswered_orders.rs
+++ b/crates/fleet/tests/fleet/unanswered_orders.rs
@@ -256,3 +256,27 @@
 
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
+
+/// Guards against an acknowledgement that waits for the next idle renewal after a doubt has ended.
+#[test]
+fn acknowledgement_is_repeated_at_once_after_a_doubt() {
+    let policy = policy();
+    let mut simulation =
+        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1600);
+    simulation.run_ms = Some(150);
+    simulation.intercept_next("u0", OrderKind::Acknowledgement);
+    simulation.submit(&submission("s1", &policy, vec![step(1)]));
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+
+    let lost_at = simulation.now;
+    while !simulation.upstreams["u0"].finished.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+
+    let took_ms = simulation.now - lost_at;
+    assert!(took_ms < 1000, "{took_ms} ms");
+}
