--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -136,6 +136,10 @@
             let silent =
                 now.saturating_sub(heard_at) > SILENCE_TIMEOUT_MS && entry.leases_expire_at > now;
             let holds_leases = !entry.runs.is_empty();
+            if entry.former_leases_until > 0 && now >= entry.former_leases_until {
+                entry.former_leases_until = 0;
+                changed = true;
+            }
             let report = entry.update_held_runs(now, silent.then_some(heard_at));
             self.effects.extend(report);
             if silent {
@@ -186,28 +190,33 @@
             }
             let busy = !entry.runs.is_empty();
             let known = entry.run_list_incarnation.is_some();
+            let waits = busy && known && entry.doubt.is_none();
             let contact_outdated =
                 now.saturating_sub(entry.answered_at) > settings.max_contact_age_ms;
             let may_grant = entry.in_stored_roster
                 && entry.contact == ContactState::Responsive
                 && !contact_outdated;
-            let deadline_ms = if busy && known && may_grant {
+            let deadline_ms = if waits && may_grant {
                 entry.grant_lease(now, terms)
             } else {
                 None
             };
+            entry.raise_fence(self.newest_revision);
             entry.renewal_in_flight = true;
+            entry.renewal_sent_at = now;
+            entry.renewal_fence = entry.fence;
+            let ack_number = entry.due_ack();
             let assumptions = &mut entry.assumptions;
-            assumptions.ack_number = assumptions.ack_number.max(entry.ack_number);
+            assumptions.ack_number = assumptions.ack_number.max(ack_number);
             self.effects.push(OwnerEffect::Renew(RenewOrder {
                 upstream: id.clone(),
                 address: entry.report.address.clone(),
                 failure_domain: entry.report.failure_domain.clone(),
                 epoch: self.epoch,
-                fence: self.epoch,
-                ack_number: entry.ack_number,
+                fence: entry.fence,
+                ack_number,
                 deadline_ms,
-                wait_ms: match (busy && known, entry.has_urgent_runs()) {
+                wait_ms: match (waits, entry.has_urgent_runs()) {
                     (false, _) => 0,
                     (true, false) => settings.renewal_wait_ms,
                     (true, true) => settings.urgent_renewal_wait_ms,
@@ -237,7 +246,7 @@
                         upstream: id.clone(),
                         address: entry.report.address.clone(),
                         epoch: self.epoch,
-                        fence: self.epoch,
+                        fence: entry.fence,
                     }));
                     next_due_at = next_due_at.max(Some(run.stop_due_at));
                 }
@@ -261,7 +270,7 @@
             upstream: upstream.clone(),
             address: entry.report.address.clone(),
             epoch: self.epoch,
-            fence: self.epoch,
+            fence: entry.fence,
         }));
     }
 
@@ -386,6 +395,8 @@
                     remaining_ms: entry.leases_expire_at.saturating_sub(now),
                     generation: self.generation,
                 }),
+                former_lease_ms: (entry.former_leases_until > now)
+                    .then(|| entry.former_leases_until - now),
                 leases_expire_unix_ms: None,
             })
             .collect()
@@ -405,7 +416,8 @@
                 self.stale_cancels.extend(stale);
                 self.roster_changed |= batch.roster.is_some();
             }
-            CommitOutcome::Stored { .. } => {
+            CommitOutcome::Stored { revision } => {
+                self.newest_revision = self.newest_revision.max(revision);
                 self.ownership_confirmed_at = self.ownership_confirmed_at.max(sent_at);
                 self.placement.request_full();
                 for id in ids {
@@ -421,10 +433,13 @@
                 // An upstream may have answered after it was recorded as silent.
                 for roster_entry in roster.filter(|roster_entry| !roster_entry.is_silent()) {
                     if let Some(entry) = self.upstreams.get_mut(&roster_entry.id) {
-                        entry.in_stored_roster = true;
+                        let bounded_until = sent_at + roster_entry.former_lease_ms.unwrap_or(0);
+                        entry.in_stored_roster |=
+                            bounded_until.max(now) >= entry.former_leases_until;
                     }
                 }
                 self.acknowledge_stored();
+                self.hasten_checks(now);
             }
         }
     }
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -7,7 +7,8 @@
 use crate::owner::crash_suspects::CrashVictim;
 use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::UpstreamIndex;
-use crate::owner::{LeaseTerm, StopReason};
+use crate::owner::incarnation_check::IncarnationDoubt;
+use crate::owner::{LeaseTerm, StartOrder, StopReason};
 
 /// Factor from a duration on an upstream's clock to the longest possible duration on the owner's
 /// clock, in thousandths: the upstream's clock may run 2 % slow (1000 / 980, rounded up).
@@ -59,6 +60,8 @@
     pub confirmed_at: Option<u64>,
     /// Number of start orders for this attempt; 1 even before the first one is sent.
     pub start_orders: u32,
+    /// Time at which the last start order was sent; 0 if this owner sent none.
+    pub order_sent_at: u64,
     /// Why it is being stopped; `None` unless it is in phase `Stopping` or `Unconfirmed`.
     pub stop_reason: Option<StopReason>,
     /// Time of the next stop order.
@@ -171,6 +174,20 @@
     pub clock: Option<ClockReading>,
     /// Orders sent since the last answer that rest on what the upstream said then.
     pub assumptions: SentAssumptions,
+    /// Fencing token of orders to the upstream: the owner's epoch, or the revision of a later commit of
+    /// it, so that it is below the epoch of every later owner.
+    pub fence: u64,
+    /// Fencing token of the last renewal.
+    pub renewal_fence: u64,
+    /// Time at which the last renewal was sent.
+    pub renewal_sent_at: u64,
+    /// Whether it is unknown which incarnation executes orders.
+    pub doubt: Option<IncarnationDoubt>,
+    /// Start orders without an answer, which are repeated when the doubt ends.
+    pub deferred_starts: Vec<StartOrder>,
+    /// Time by which the leases have expired that orders to former incarnations may have granted; 0
+    /// if there are none.
+    pub former_leases_until: u64,
     /// Time by which every lease has expired if the upstream stays silent.
     pub leases_expire_at: u64,
     /// Where `leases_expire_at` comes from.
@@ -184,6 +201,8 @@
     pub last_finished_number: u64,
     /// Highest number such that the changes of all finished runs up to it are stored.
     pub ack_number: u64,
+    /// Highest number of a finished run that the upstream has forgotten.
+    pub confirmed_ack: u64,
     /// Finished runs that are not stored yet: their number, and the sequence number of their
     /// change.
     pub uncommitted: VecDeque<(u64, u64)>,
@@ -223,8 +242,14 @@
     pub unknown_runs: u32,
 }
 
+/// Returns the time by which a lease has expired whose duration on the upstream's clock is counted from
+/// a time at the latest.
+pub(super) fn latest_expiry(from: u64, duration_ms: u64) -> u64 {
+    from + duration_ms * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS
+}
+
 impl UpstreamEntry {
-    pub fn new(index: UpstreamIndex, report: UpstreamReport) -> Self {
+    pub fn new(index: UpstreamIndex, report: UpstreamReport, fence: u64) -> Self {
         Self {
             index,
             report,
@@ -235,6 +260,12 @@
             run_list_incarnation: None,
             clock: None,
             assumptions: SentAssumptions::default(),
+            fence,
+            renewal_fence: fence,
+            renewal_sent_at: 0,
+            doubt: None,
+            deferred_starts: Vec::new(),
+            former_leases_until: 0,
             leases_expire_at: 0,
             lease_term: LeaseTerm::OwnLeases,
             held_since: None,
@@ -242,6 +273,7 @@
             allocated: ResourceSize::ZERO,
             last_finished_number: 0,
             ack_number: 0,
+            confirmed_ack: 0,
             uncommitted: VecDeque::new(),
             renewal_in_flight: false,
             next_renewal_at: 0,
@@ -282,8 +314,7 @@
     pub fn grant_lease(&mut self, now: u64, terms: LeaseTerms) -> Option<u64> {
         let clock = self.clock?;
         let granted_ms = self.granted_ms(now, terms)?;
-        let expiry =
-            clock.received_at + granted_ms * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS;
+        let expiry = latest_expiry(clock.received_at, granted_ms);
         if expiry > self.leases_expire_at {
             self.leases_expire_at = expiry;
             self.lease_term = LeaseTerm::OwnLeases;
@@ -354,6 +385,7 @@
             && self.in_stored_roster
             && self.contact == ContactState::Responsive
             && !self.report.draining
+            && self.doubt.is_none()
             && self.run_list_incarnation == Some(self.report.incarnation_unix_ms)
             && now.saturating_sub(self.answered_at) <= max_contact_age_ms
     }
@@ -404,6 +436,23 @@
         self.runs.values().any(|run| run.urgent)
     }
 
+    /// Returns the number up to which the next renewal acknowledges finished runs; 0 for none. It names
+    /// none that are forgotten already, because another incarnation would take them for its own.
+    pub fn due_ack(&self) -> u64 {
+        if self.doubt.is_none() && self.ack_number > self.confirmed_ack {
+            self.ack_number
+        } else {
+            0
+        }
+    }
+
+    /// Records which finished runs the upstream has forgotten; `first_listed` is the number of the
+    /// first that it still lists.
+    pub fn confirm_ack(&mut self, first_listed: Option<u64>) {
+        let forgotten = first_listed.map_or(self.ack_number, |number| number.saturating_sub(1));
+        self.confirmed_ack = forgotten.min(self.ack_number);
+    }
+
     /// Advances the acknowledged number to the finished runs whose changes are stored.
     pub fn acknowledge(&mut self, stored_sequence: u64) {
         while let Some((number, sequence)) = self.uncommitted.front().copied() {
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -6,19 +6,19 @@
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
     AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease,
-    MissingFinishedRuns, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome, RecoveryBound,
-    RenewOrder, RestartReport, StartOrder, StopOrder, UnlistedReport,
+    IncarnationReport, MissingFinishedRuns, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome,
+    RecoveryBound, RenewOrder, RestartReport, StartOrder, StopOrder, UnlistedReport,
 };
 use serde_json::json;
 
 use crate::clock::now_ms;
 use crate::control::control_actor::PeerEntry;
-use crate::control::{ControlHandle, ControlInput, ForwardedBatch};
+use crate::control::{ControlHandle, ControlInput, FinishedRunLog, ForwardedBatch};
 use crate::event::FleetEvent;
 use crate::forward::BatchOrder;
 use crate::metrics::{FleetMetrics, WorkKind, measured, timer_delay_ms};
 use crate::peer::PeerClients;
-use crate::ports::{PlatformPorts, PolicyRequest, RenewOutcome};
+use crate::ports::{OrderAnswer, PlatformPorts, PolicyRequest, RenewOutcome};
 use crate::store::CommitWriter;
 
 /// Executes each effect in its own task, and sends the outcome to the control actor.
@@ -85,6 +85,7 @@
             OwnerEffect::ReportUnlisted(report) => report_unlisted(&report),
             OwnerEffect::ReportRecovery(bound) => report_recovery(epoch, &bound),
             OwnerEffect::ReportRestart(report) => self.report_restart(epoch, &report),
+            OwnerEffect::ReportIncarnation(report) => report_incarnation(epoch, &report),
             OwnerEffect::ReportMissingFinished(missing) => {
                 self.report_missing_finished(epoch, &missing);
             }
@@ -210,11 +211,13 @@
     }
 
     async fn start(&self, order: StartOrder, valid_until: u64) {
-        let outcome = if now_ms() < valid_until {
+        let sent_at = now_ms();
+        let answer = if sent_at < valid_until {
             (self.ports.upstream.start)(order.clone()).await
         } else {
-            StartOutcome::Unhealthy
+            OrderAnswer::without_clock(StartOutcome::Unhealthy)
         };
+        let outcome = answer.outcome;
         self.metrics.count_order(start_outcome_kind(outcome));
         if outcome == StartOutcome::Started {
             FleetEvent::TaskOrdered.emit(json!({
@@ -235,12 +238,14 @@
             }));
         }
         self.control
-            .send(ControlInput::StartFinished(order, outcome))
+            .send(ControlInput::StartFinished(order, sent_at, answer))
             .await;
     }
 
     async fn stop(&self, order: StopOrder) {
-        let outcome = (self.ports.upstream.stop)(order.clone()).await;
+        let sent_at = now_ms();
+        let answer = (self.ports.upstream.stop)(order.clone()).await;
+        let outcome = answer.outcome;
         self.metrics.count_order(match outcome {
             StopOutcome::Accepted => "stop_accepted",
             _ => "stop_failed",
@@ -256,7 +261,7 @@
             "outcome": format!("{outcome:?}"),
         }));
         self.control
-            .send(ControlInput::StopFinished(order, outcome))
+            .send(ControlInput::StopFinished(order, sent_at, answer))
             .await;
     }
 
@@ -349,18 +354,15 @@
         StartOutcome::Started => "started",
         StartOutcome::Rejected(_) => "start_rejected",
         StartOutcome::Unhealthy => "start_unhealthy",
+        StartOutcome::NotSent => "start_not_sent",
         StartOutcome::OtherIncarnation => "start_other_incarnation",
         StartOutcome::Unknown => "start_unknown",
     }
 }
 
 /// Logs the finished runs that an upstream lists for the first time.
-pub(super) fn log_finished_runs(upstream: &Arc<str>, last_seen_number: u64, reply: &RenewReply) {
-    for run in reply
-        .finished
-        .iter()
-        .filter(|run| run.number > last_seen_number)
-    {
+pub(super) fn log_finished_runs(log: &mut FinishedRunLog, upstream: &Arc<str>, reply: &RenewReply) {
+    for run in log.take_new(upstream, reply) {
         FleetEvent::RunEnded.emit(json!({
             "request": run.task.split('.').next(),
             "task": run.task,
@@ -421,6 +423,18 @@
     }));
 }
 
+fn report_incarnation(epoch: u64, report: &IncarnationReport) {
+    FleetEvent::IncarnationChecked.emit(json!({
+        "epoch": epoch,
+        "upstream": report.upstream,
+        "reason": report.reason.label(),
+        "doubted_ms": report.doubted_ms,
+        "is_new": report.is_new,
+        "fence": report.fence,
+        "leases_expire_in_ms": report.leases_expire_in_ms,
+    }));
+}
+
 fn report_recovery(epoch: u64, bound: &RecoveryBound) {
     FleetEvent::RecoveryBounded.emit(json!({
         "epoch": epoch,
