--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod departures;
 mod exclusions;
 mod fixtures;
+mod former_incarnations;
 mod gangs;
 mod held_runs;
 mod inherited_runs;
