--- a/crates/fleet/tests/fleet/restarted_upstreams.rs
+++ b/crates/fleet/tests/fleet/restarted_upstreams.rs
@@ -14,7 +14,7 @@
 const LONG_RUN_MS: u64 = 60_000;
 
 /// Time within which tasks run again after a restart or a loss, in milliseconds.
-const RESTART_LIMIT_MS: u64 = 16_000;
+pub(crate) const RESTART_LIMIT_MS: u64 = 16_000;
 
 /// Returns a fleet with one upstream, `u0`, whose clock is slow and which has answered the owner.
 fn fleet_of_one(policy: &QueuePolicy) -> FleetSimulation {
@@ -69,18 +69,18 @@
     }
 }
 
-fn run_count(simulation: &FleetSimulation, id: &str) -> usize {
+pub(crate) fn run_count(simulation: &FleetSimulation, id: &str) -> usize {
     simulation.upstreams[id].runs.len()
 }
 
 /// Adds `u1`, another upstream without runs.
-fn add_spare_upstream(simulation: &mut FleetSimulation) {
+pub(crate) fn add_spare_upstream(simulation: &mut FleetSimulation) {
     let spare = SimulatedUpstream::new("u1", 1, 1000);
     simulation.upstreams.insert("u1".into(), spare);
 }
 
 /// Cuts `u0`, which runs on, off for good.
-fn cut_off(simulation: &mut FleetSimulation) {
+pub(crate) fn cut_off(simulation: &mut FleetSimulation) {
     simulation.partitioned.insert("u0".into(), u64::MAX);
     let now = simulation.now;
     simulation.cut_off_from_store.insert("u0".into(), now);
@@ -99,7 +99,7 @@
 }
 
 /// Cuts `u0` off and checks that its tasks run on another upstream, but not before they have ended.
-fn assert_tasks_move_after_cut(simulation: &mut FleetSimulation) {
+pub(crate) fn assert_tasks_move_after_cut(simulation: &mut FleetSimulation) {
     cut_off(simulation);
     add_spare_upstream(simulation);
     let tasks = tasks_on(simulation, "u0");
@@ -114,7 +114,7 @@
 }
 
 /// Loses the owner, which does not confirm that it stepped down, and lets another host take over.
-fn replace_lost_owner(simulation: &mut FleetSimulation) {
+pub(crate) fn replace_lost_owner(simulation: &mut FleetSimulation) {
     simulation.owner = None;
     simulation.predecessor_lost = true;
     simulation.run_until(simulation.now + TAKEOVER_MS);
@@ -359,8 +359,64 @@
     }
 }
 
+/// Returns a fleet whose start order for `s1` gets no answer before `u0` is cut off, and the time at which
+/// `u0` is back.
+fn fleet_with_unanswered_start(cut_ms: u64) -> (FleetSimulation, u64) {
+    let policy = patient_queue();
+    let mut simulation = fleet_of_one(&policy);
+    simulation.run_ms = Some(LONG_RUN_MS);
+    simulation.submit(&submission("s0", &policy, vec![long_step()]));
+    simulation.run_until(simulation.now + 500);
+    simulation.submit(&submission("s1", &policy, vec![long_step()]));
+    simulation.intercept_next("u0", OrderKind::Start);
+    wait_for(&mut simulation, |simulation| {
+        simulation.to_intercept.is_empty()
+    });
+    let back_at = simulation.now + cut_ms;
+    simulation.partitioned.insert("u0".into(), back_at);
+    (simulation, back_at)
+}
+
+/// Returns the number of start orders for `s1` with the first attempt number.
+fn first_attempt_orders(simulation: &FleetSimulation) -> usize {
+    let sent = simulation.started.iter();
+    sent.filter(|order| &*order.task.submission == "s1" && order.attempt == 1)
+        .count()
+}
+
+/// Guards against granting a lease by a repeated start while the store still bounds the leases of the
+/// upstream as those of a silent one.
+#[test]
+fn start_is_not_repeated_on_an_upstream_that_was_recorded_as_silent() {
+    let (mut simulation, back_at) = fleet_with_unanswered_start(3500);
+
+    simulation.run_until(back_at);
+    let before = first_attempt_orders(&simulation);
+    simulation.run_until(back_at + 2000);
+
+    assert_eq!(first_attempt_orders(&simulation), before);
+    assert_eq!(run_count(&simulation, "u0"), 2);
+}
+
+/// Guards against a repeated start in a failure domain that was taken out of service meanwhile.
+#[test]
+fn start_is_not_repeated_in_an_evacuated_domain() {
+    let (mut simulation, back_at) = fleet_with_unanswered_start(1000);
+
+    simulation.run_until(back_at - 10);
+    let before = first_attempt_orders(&simulation);
+    let approved = simulation.config.clone();
+    let evacuated = ["west".into()].into();
+    let owner = simulation.owner.as_mut().expect("an owner");
+    owner.set_config(approved, evacuated);
+    simulation.run_until(back_at + 2000);
+
+    assert_eq!(first_attempt_orders(&simulation), before);
+    assert_eq!(run_count(&simulation, "u0"), 1);
+}
+
 /// Restarts `u0` unnoticed, and has the new incarnation execute the first start order of a task.
-fn fleet_with_start_after_restart(answered: bool) -> FleetSimulation {
+pub(crate) fn fleet_with_start_after_restart(answered: bool) -> FleetSimulation {
     let policy = patient_queue();
     let mut simulation = fleet_of_one(&policy);
     simulation.run_ms = Some(LONG_RUN_MS);
