--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -85,9 +85,9 @@
         due.max(now)
     }
 
-    /// Releases the runs of silent upstreams whose leases have all expired, and removes the empty ones of such
-    /// upstreams if the directory no longer lists them. Upstreams that answered within the last
-    /// 1000 ms are skipped.
+    /// Releases the runs of silent upstreams whose leases have all expired, and removes the empty
+    /// ones of such upstreams if the directory no longer lists them. Upstreams that answered within
+    /// the last 1000 ms are skipped.
     fn expire_leases(&mut self, now: u64) {
         let expired: Vec<_> = self
             .upstreams
@@ -205,7 +205,6 @@
             };
             entry.raise_fence(self.newest_revision);
             entry.renewal_in_flight = true;
-            entry.renewal_sent_at = now;
             entry.renewal_fence = entry.fence;
             let ack_number = entry.due_ack();
             let assumptions = &mut entry.assumptions;
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -73,7 +73,8 @@
     /// Whether it runs until it is stopped.
     pub long_running: bool,
     /// Time at which the run was planned, first ordered or adopted, whichever is last. For a run
-    /// restored from the store, 0 until the upstream lists it, and then estimated from its progress.
+    /// restored from the store, 0 until the upstream lists it, and then estimated from its
+    /// progress.
     pub ordered_at: u64,
     /// Whether this owner did not order the run, so that it does not know how long it has taken.
     pub inherited: bool,
@@ -93,6 +94,11 @@
         self.confirmed_at = Some(now);
     }
 
+    /// Returns whether an order to start the run got no answer and may still be executed.
+    fn has_unanswered_order(&self) -> bool {
+        self.confirmed_at.is_none() || self.start_orders > 1
+    }
+
     /// Returns whether the run is expected to end within a duration, based on its progress.
     fn ends_within(&self, now: u64, within_ms: u64) -> bool {
         if self.phase == RunPhase::Stopping {
@@ -174,13 +180,11 @@
     pub clock: Option<ClockReading>,
     /// Orders sent since the last answer that rest on what the upstream said then.
     pub assumptions: SentAssumptions,
-    /// Fencing token of orders to the upstream: the owner's epoch, or the revision of a later commit of
-    /// it, so that it is below the epoch of every later owner.
+    /// Fencing token of orders to the upstream: the owner's epoch, or the revision of a later
+    /// commit of it, so that it is below the epoch of every later owner.
     pub fence: u64,
     /// Fencing token of the last renewal.
     pub renewal_fence: u64,
-    /// Time at which the last renewal was sent.
-    pub renewal_sent_at: u64,
     /// Whether it is unknown which incarnation executes orders.
     pub doubt: Option<IncarnationDoubt>,
     /// Start orders without an answer, which are repeated when the doubt ends.
@@ -242,8 +246,8 @@
     pub unknown_runs: u32,
 }
 
-/// Returns the time by which a lease has expired whose duration on the upstream's clock is counted from
-/// a time at the latest.
+/// Returns the time by which a lease has expired whose duration on the upstream's clock is counted
+/// from a time at the latest.
 pub(super) fn latest_expiry(from: u64, duration_ms: u64) -> u64 {
     from + duration_ms * SLOW_CLOCK_FACTOR_PER_MILLE / 1000 + EXPIRY_MARGIN_MS
 }
@@ -262,7 +266,6 @@
             assumptions: SentAssumptions::default(),
             fence,
             renewal_fence: fence,
-            renewal_sent_at: 0,
             doubt: None,
             deferred_starts: Vec::new(),
             former_leases_until: 0,
@@ -424,21 +427,22 @@
         true
     }
 
-    /// Returns the start of the incarnation that a successor must know of: the one that this owner's
-    /// orders are meant for, so that the successor notices if it has ended, or else the reported one.
+    /// Returns the start of the incarnation that a successor must know of: the one that this
+    /// owner's orders are meant for, so that the successor notices if it has ended, or else the
+    /// reported one.
     pub fn stored_incarnation(&self) -> u64 {
         self.runs_incarnation
             .unwrap_or(self.report.incarnation_unix_ms)
     }
 
-    /// Returns the runs that have ended once `leases_expire_at` has passed, and records them as possible
-    /// victims of a crash. Runs whose start got no answer may be on a later incarnation.
+    /// Returns the runs that have ended once `leases_expire_at` has passed, and records them as
+    /// possible victims of a crash. Runs whose start got no answer may be on a later incarnation.
     pub fn take_expired_runs(&mut self, now: u64) -> Vec<TaskName> {
         let is_later = now < self.former_leases_until;
         let ended = self
             .runs
             .iter()
-            .filter(|(_, run)| run.confirmed_at.is_some() || !is_later);
+            .filter(|(_, run)| !is_later || !run.has_unanswered_order());
         let names: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
         let victims = self.crash_victims().into_iter();
         self.expired_runs
@@ -451,8 +455,9 @@
         self.runs.values().any(|run| run.urgent)
     }
 
-    /// Returns the number up to which the next renewal acknowledges finished runs; 0 for none. It names
-    /// none that are forgotten already, because another incarnation would take them for its own.
+    /// Returns the number up to which the next renewal acknowledges finished runs; 0 for none. It
+    /// names none that are forgotten already, because another incarnation would take them for its
+    /// own.
     pub fn due_ack(&self) -> u64 {
         if self.doubt.is_none() && self.ack_number > self.confirmed_ack {
             self.ack_number
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod commits;
 mod crashes;
+mod deferred_starts;
 mod departures;
 mod exclusions;
 mod fixtures;
