--- a/crates/fleet/src/model/upstream_report.rs
+++ b/crates/fleet/src/model/upstream_report.rs
@@ -116,7 +116,7 @@
 /// Why an upstream rejected an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RejectReason {
-    /// It has seen a higher epoch from another owner.
+    /// It has seen a higher fencing token, from another owner or a later one from this owner.
     Fenced,
     /// The attempt number is not higher than that of an attempt that has ended there.
     OldAttempt,
@@ -153,7 +153,7 @@
 pub enum StopOutcome {
     /// The upstream accepted the order: the attempt ends or will never start.
     Accepted,
-    /// It has seen a higher epoch from another owner.
+    /// It has seen a higher fencing token, from another owner or a later one from this owner.
     Fenced,
     /// A different incarnation answers at the address.
     OtherIncarnation,
--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -108,6 +108,7 @@
         self.record_change(&id, false)
     }
 
+    /// Records a checkpoint of any member of a gang, which is valid for all of them.
     pub(super) fn update_gang_checkpoint(&mut self, name: &TaskName, checkpoint: &Arc<str>) {
         if checkpoint.is_empty() {
             return;
