--- a/crates/fleet/tests/fleet/unanswered_orders.rs
+++ b/crates/fleet/tests/fleet/unanswered_orders.rs
@@ -4,10 +4,10 @@
 
 use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec};
 use lagoonnotch_fleet::owner::OwnerMachine;
-use lagoonnotch_model::SimulatedUpstream;
 
 use crate::fixtures::{config, queue, report, step, submission};
 use crate::late_orders::OrderKind;
+use crate::restarted_upstreams::{add_spare_upstream, cut_off};
 use crate::simulation::FleetSimulation;
 
 fn policy() -> QueuePolicy {
@@ -17,16 +17,30 @@
     }
 }
 
-/// Returns a fleet whose only upstream, `u0`, has got a start order without a reply and is cut off.
-fn fleet_with_deferred_start(cut_ms: u64) -> FleetSimulation {
-    let policy = policy();
+/// Returns a fleet with one upstream, `u0`, that has answered the owner; the speed of its clock is in
+/// thousandths.
+fn fleet_of_one(policy: &QueuePolicy, clock_speed_per_mille: u64) -> FleetSimulation {
     let mut simulation =
         FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
     for upstream in simulation.upstreams.values_mut() {
-        upstream.clock_speed_per_mille = 980;
+        upstream.clock_speed_per_mille = clock_speed_per_mille;
     }
     simulation.take_over();
     simulation.run_until(simulation.now + 1600);
+    simulation
+}
+
+/// Lets the fleet run until every order that is to be intercepted has been.
+fn wait_for_interception(simulation: &mut FleetSimulation) {
+    while !simulation.to_intercept.is_empty() {
+        simulation.run_until(simulation.now + 5);
+    }
+}
+
+/// Returns a fleet whose only upstream, `u0`, has got a start order without a reply and is cut off.
+fn fleet_with_deferred_start(cut_ms: u64) -> FleetSimulation {
+    let policy = policy();
+    let mut simulation = fleet_of_one(&policy, 980);
     simulation.run_ms = Some(60_000);
     simulation.intercept_next("u0", OrderKind::Start);
     let long = StepSpec {
@@ -34,9 +48,7 @@
         ..step(1)
     };
     simulation.submit(&submission("s1", &policy, vec![long]));
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation
         .partitioned
         .insert("u0".into(), simulation.now + cut_ms);
@@ -53,12 +65,8 @@
             simulation.run_until(simulation.now + 5);
         }
 
-        simulation.partitioned.insert("u0".into(), u64::MAX);
-        let now = simulation.now;
-        simulation.cut_off_from_store.insert("u0".into(), now);
-        simulation
-            .upstreams
-            .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+        cut_off(&mut simulation);
+        add_spare_upstream(&mut simulation);
         simulation.owner = None;
         simulation.predecessor_lost = true;
         simulation.run_until(simulation.now + 1900);
@@ -91,16 +99,11 @@
 #[test]
 fn renewal_without_answer_raises_a_doubt_although_a_start_was_answered_meanwhile() {
     let policy = policy();
-    let mut simulation =
-        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
-    simulation.take_over();
-    simulation.run_until(simulation.now + 1600);
+    let mut simulation = fleet_of_one(&policy, 1000);
     simulation.run_ms = Some(150);
     simulation.submit(&submission("s1", &policy, vec![step(3)]));
     simulation.intercept_next("u0", OrderKind::Acknowledgement);
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation.run_ms = Some(60_000);
     simulation.submit(&submission("s2", &policy, vec![step(1)]));
     let end = simulation.now + 500;
@@ -115,9 +118,7 @@
     simulation.run_ms = Some(150);
     simulation.intercept_next("u0", OrderKind::Start);
     simulation.submit(&submission("s3", &policy, vec![step(1)]));
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation.intercepted.remove(0);
     simulation.execute_intercepted();
     simulation.run_until(simulation.now + 8000);
@@ -129,20 +130,12 @@
 #[test]
 fn renewal_without_answer_stops_grants_although_a_start_was_answered_meanwhile() {
     let policy = policy();
-    let mut simulation =
-        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
-    for upstream in simulation.upstreams.values_mut() {
-        upstream.clock_speed_per_mille = 980;
-    }
-    simulation.take_over();
-    simulation.run_until(simulation.now + 1600);
+    let mut simulation = fleet_of_one(&policy, 980);
     simulation.run_ms = Some(60_000);
     simulation.submit(&submission("s1", &policy, vec![step(1)]));
     simulation.run_until(simulation.now + 500);
     simulation.intercept_next("u0", OrderKind::Renewal);
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation.submit(&submission("s2", &policy, vec![step(1)]));
     while simulation.upstreams["u0"].runs.len() < 2 {
         simulation.run_until(simulation.now + 5);
@@ -153,22 +146,14 @@
     simulation.restart_upstream("u0");
     simulation.intercept_next("u0", OrderKind::Start);
     simulation.submit(&submission("s3", &policy, vec![step(1)]));
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation.intercepted.remove(0);
     simulation.execute_intercepted();
     simulation.intercept_next("u0", OrderKind::Renewal);
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation.execute_intercepted();
-    simulation.partitioned.insert("u0".into(), u64::MAX);
-    let now = simulation.now;
-    simulation.cut_off_from_store.insert("u0".into(), now);
-    simulation
-        .upstreams
-        .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+    cut_off(&mut simulation);
+    add_spare_upstream(&mut simulation);
     simulation.run_until(simulation.now + 16_000);
 
     assert_eq!(simulation.violations, Vec::<String>::new());
@@ -179,13 +164,7 @@
 #[test]
 fn run_with_two_start_orders_is_held_for_a_listed_incarnation() {
     let policy = policy();
-    let mut simulation =
-        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
-    for upstream in simulation.upstreams.values_mut() {
-        upstream.clock_speed_per_mille = 980;
-    }
-    simulation.take_over();
-    simulation.run_until(simulation.now + 1600);
+    let mut simulation = fleet_of_one(&policy, 980);
     simulation.run_ms = Some(60_000);
     simulation.intercept_next("u0", OrderKind::Start);
     simulation.submit(&submission("s1", &policy, vec![step(1)]));
@@ -195,16 +174,12 @@
     simulation.run_until(simulation.now + 300);
     assert_eq!(simulation.started.len(), 2);
     simulation.intercept_next("u0", OrderKind::Renewal);
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     simulation.restart_upstream("u0");
     simulation.execute_intercepted();
     assert_eq!(simulation.upstreams["u0"].runs.len(), 1);
     simulation.partitioned.insert("u0".into(), u64::MAX);
-    simulation
-        .upstreams
-        .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+    add_spare_upstream(&mut simulation);
     simulation.run_until(simulation.now + 16_000);
 
     assert_eq!(simulation.violations, Vec::<String>::new());
@@ -214,13 +189,7 @@
 #[test]
 fn late_renewal_to_an_upstream_that_is_listed_again_extends_no_lease_beyond_the_bound() {
     let policy = policy();
-    let mut simulation =
-        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
-    for upstream in simulation.upstreams.values_mut() {
-        upstream.clock_speed_per_mille = 980;
-    }
-    simulation.take_over();
-    simulation.run_until(simulation.now + 1600);
+    let mut simulation = fleet_of_one(&policy, 980);
     simulation.run_ms = Some(60_000);
     let long = StepSpec {
         estimate_ms: 60_000,
@@ -229,9 +198,7 @@
     simulation.submit(&submission("s1", &policy, vec![long]));
     simulation.run_until(simulation.now + 1000);
     simulation.intercept_next("u0", OrderKind::Renewal);
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
     let cut_at = simulation.now;
     simulation.partitioned.insert("u0".into(), cut_at + 9000);
     simulation.cut_off_from_store.insert("u0".into(), cut_at);
@@ -246,12 +213,8 @@
         assert!(simulation.now < end, "no run");
         simulation.run_until(simulation.now + 5);
     }
-    simulation.partitioned.insert("u0".into(), u64::MAX);
-    let now = simulation.now;
-    simulation.cut_off_from_store.insert("u0".into(), now);
-    simulation
-        .upstreams
-        .insert("u1".into(), SimulatedUpstream::new("u1", 1, 1000));
+    cut_off(&mut simulation);
+    add_spare_upstream(&mut simulation);
     simulation.run_until(simulation.now + 16_000);
 
     assert_eq!(simulation.violations, Vec::<String>::new());
@@ -261,16 +224,11 @@
 #[test]
 fn acknowledgement_is_repeated_at_once_after_a_doubt() {
     let policy = policy();
-    let mut simulation =
-        FleetSimulation::new(11, config(vec![policy.clone()], ResourceSize::ZERO), 1);
-    simulation.take_over();
-    simulation.run_until(simulation.now + 1600);
+    let mut simulation = fleet_of_one(&policy, 1000);
     simulation.run_ms = Some(150);
     simulation.intercept_next("u0", OrderKind::Acknowledgement);
     simulation.submit(&submission("s1", &policy, vec![step(1)]));
-    while !simulation.to_intercept.is_empty() {
-        simulation.run_until(simulation.now + 5);
-    }
+    wait_for_interception(&mut simulation);
 
     let lost_at = simulation.now;
     while !simulation.upstreams["u0"].finished.is_empty() {
