Hold no capacity for tasks that their team's upper limit keeps from starting

Cause: a long-running step reserved capacity for each task that was not placed, also for those that its team's headroom, and not room, kept from starting. Several steps of a team each reserved for the whole headroom, runs were stopped for such tasks, and each step at its team's limit used one of the searches for runs to stop that a pass may make.

Change: the tasks beyond the headroom are left out before anything is done for the unplaced ones. Reservations count what earlier steps of the team have reserved in the pass; starts, queries and preemption do not, so that a reservation blocks no other work.

--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -117,6 +117,8 @@
     positions: Vec<Option<u32>>,
     /// Cached headroom of the teams examined in this pass.
     pub team_headrooms: HashMap<Arc<str>, ResourceSize>,
+    /// Demand of each team's tasks for which earlier steps of the pass have reserved capacity.
+    held_headrooms: HashMap<Arc<str>, ResourceSize>,
     /// Number of victim searches that the pass may still make.
     pub preemption_searches_left: u32,
     /// Queries that are sent at the end of the pass if hosts are free.
@@ -142,6 +144,7 @@
     /// Discards what applied to an earlier pass only.
     fn begin_pass(&mut self, now: u64) {
         self.team_headrooms.clear();
+        self.held_headrooms.clear();
         self.deferred_queries.clear();
         self.preemption_searches_left = super::preemption::MAX_PREEMPTION_SEARCHES;
         let forecasts_expired = now >= self.forecasts_since + MAX_FORECAST_AGE_MS;
@@ -159,6 +162,19 @@
         }
     }
 
+    /// Counts the demand of tasks for which capacity is reserved against their team's headroom.
+    pub fn hold_headroom(&mut self, team: Option<&Arc<str>>, demand: ResourceSize) {
+        if let Some(team) = team {
+            *self.held_headrooms.entry(team.clone()).or_default() += demand;
+        }
+    }
+
+    /// Returns the demand of a team's tasks for which capacity is reserved.
+    fn held_headroom(&self, team: Option<&Arc<str>>) -> ResourceSize {
+        let held = team.and_then(|team| self.held_headrooms.get(team));
+        held.copied().unwrap_or_default()
+    }
+
     /// Lets no other step use an upstream of a pool.
     pub fn close(&mut self, pool: &str, position: usize) {
         let pool = self.pools.get_mut(pool);
@@ -241,6 +257,7 @@
             pools: HashMap::new(),
             positions: vec![None; self.index_count as usize],
             team_headrooms: HashMap::new(),
+            held_headrooms: HashMap::new(),
             preemption_searches_left: super::preemption::MAX_PREEMPTION_SEARCHES,
             deferred_queries: DeferredQueries::default(),
             forecasts_since: now,
@@ -289,4 +306,15 @@
         view.team_headrooms.insert(team.clone(), headroom);
         headroom
     }
+
+    /// Returns a team's headroom beyond the tasks for which earlier steps of the pass have reserved
+    /// capacity.
+    pub(super) fn unheld_headroom(
+        &self,
+        team: Option<&Arc<str>>,
+        view: &mut FleetView,
+    ) -> ResourceSize {
+        let headroom = self.cached_team_headroom(team, view);
+        headroom.saturating_sub(&view.held_headroom(team))
+    }
 }
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -72,6 +72,12 @@
         self.record.team.as_ref()
     }
 
+    /// Returns how many of a number of tasks may start with a headroom of their team.
+    pub fn limit_to_headroom(&self, tasks: usize, headroom: &ResourceSize) -> usize {
+        let allowed = headroom.slots_for(&self.spec().demand);
+        tasks.min(usize::try_from(allowed).unwrap_or(usize::MAX))
+    }
+
     /// Returns how many more tasks of the step an upstream may run under the step's limit.
     pub fn step_headroom(&self, id: &Arc<str>) -> u64 {
         match self.spec().max_per_upstream {
@@ -240,9 +246,8 @@
         request: &PlacementRequest,
         view: &mut FleetView,
     ) -> Vec<TaskChoice> {
-        let demand = request.spec().demand;
         let team_headroom = self.cached_team_headroom(request.team(), view);
-        let allowed = usize::try_from(team_headroom.slots_for(&demand)).unwrap_or(usize::MAX);
+        let allowed = request.limit_to_headroom(request.startable.len(), &team_headroom);
         let (Some(step), Some(pool)) = (self.step_of(ready), view.pools.get(&ready.queue.pool))
         else {
             return Vec::new();
--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -70,11 +70,7 @@
         unplaced: usize,
         view: &mut FleetView,
     ) {
-        if !self.may_query(now, ready) {
-            return;
-        }
-        let minimum_demand = request.minimum_demand();
-        if minimum_demand.fits(&self.cached_team_headroom(request.team(), view)) {
+        if self.may_query(now, ready) {
             self.plan_and_send(now, ready, request, unplaced, view);
         }
     }
--- a/crates/fleet/src/owner/preemption.rs
+++ b/crates/fleet/src/owner/preemption.rs
@@ -83,11 +83,6 @@
         if let Some(step) = self.step_mut(&ready.submission, ready.occurrence, ready.step) {
             step.preemption_not_before = now + PREEMPTION_RETRY_DELAY_MS;
         }
-        let minimum_demand = request.minimum_demand();
-        let team_headroom = self.cached_team_headroom(request.team(), view);
-        if !minimum_demand.fits(&team_headroom) {
-            return;
-        }
         for set in self.choose_victims(now, ready, request, kind, unplaced as u64, view) {
             self.stop_victims(now, ready, &set);
         }
@@ -238,7 +233,8 @@
         runs
     }
 
-    /// Reserves capacity for a waiting long-running step, so that later steps do not take it.
+    /// Reserves capacity for a waiting long-running step, so that later steps do not take it. The
+    /// steps of a team together reserve for the tasks that its upper limit lets start.
     pub(super) fn reserve_capacity(
         &self,
         ready: &ReadyStep,
@@ -246,6 +242,8 @@
         unplaced: usize,
         view: &mut FleetView,
     ) {
+        let headroom = self.unheld_headroom(request.team(), view);
+        let unplaced = request.limit_to_headroom(unplaced, &headroom) as u64;
         let Some(step) = self.step_of(ready) else {
             return;
         };
@@ -276,7 +274,7 @@
             })
             .collect();
         candidates.sort_by_key(|(rank, _, _)| *rank);
-        let mut missing = unplaced as u64;
+        let mut missing = unplaced;
         for (_, position, max_tasks) in candidates {
             if missing == 0 {
                 break;
@@ -286,6 +284,8 @@
             let upstream = &mut pool.upstreams[position];
             upstream.reserved += allocation.saturating_mul(tasks);
         }
+        let demand = request.spec().demand.saturating_mul(unplaced - missing);
+        view.hold_headroom(request.team(), demand);
     }
 }
 
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -93,6 +93,11 @@
             self.arrange_gang(now, ready, &request, claim, view);
             return;
         }
+        let headroom = self.cached_team_headroom(request.team(), view);
+        let unplaced = request.limit_to_headroom(unplaced, &headroom);
+        if unplaced == 0 {
+            return;
+        }
         self.placement.has_urgent_backlog |= ready.priority == 0
             && ready.deadline_status(now) == DeadlineStatus::OnTime
             && ready.has_tickets(now);
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod fixtures;
 mod former_incarnations;
 mod gangs;
+mod held_capacity;
 mod held_runs;
 mod inherited_runs;
 mod invariant_checks;
