Reserve no capacity in place of long-running runs

The reservation for a waiting long-running step counted the whole capacity of an upstream, as if all of its runs ended or could be preempted. Long-running runs do neither, so the free rest of the upstream was held for good.

Change: capacity that other long-running runs occupy, unless they are being stopped, is not reservable.

Evidence: capacity_beside_long_running_tasks_is_not_held_for_one_that_does_not_fit fails before.

--- a/crates/fleet/src/owner/preemption.rs
+++ b/crates/fleet/src/owner/preemption.rs
@@ -234,7 +234,8 @@
     }
 
     /// Reserves capacity for a waiting long-running step, so that later steps do not take it. The
-    /// steps of a team together reserve for the tasks that its upper limit lets start.
+    /// steps of a team together reserve for the tasks that its upper limit lets start. Capacity that
+    /// other long-running runs occupy never becomes free, so none is reserved in its place.
     pub(super) fn reserve_capacity(
         &self,
         ready: &ReadyStep,
@@ -257,11 +258,10 @@
             .enumerate()
             .filter(|(_, upstream)| request.could_run(upstream, step))
             .filter_map(|(position, upstream)| {
-                let reservable = upstream.capacity.saturating_sub(&upstream.reserved);
-                let soon_free = self
-                    .upstreams
-                    .get(&upstream.id)
-                    .map(|entry| free_after_stops(request, upstream, entry))?;
+                let entry = self.upstreams.get(&upstream.id)?;
+                let occupied = upstream.reserved + entry.occupied_for_long();
+                let reservable = upstream.capacity.saturating_sub(&occupied);
+                let soon_free = free_after_stops(request, upstream, entry);
                 let max_tasks = reservable
                     .slots_for(&allocation)
                     .min(request.step_headroom(&upstream.id));
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -312,6 +312,14 @@
         ending.fold(ResourceSize::ZERO, |sum, run| sum + run.allocation)
     }
 
+    /// Returns the resources of the long-running runs that are not being stopped.
+    pub fn occupied_for_long(&self) -> ResourceSize {
+        let lasting = self.runs.values().filter(|run| {
+            run.long_running && !matches!(run.phase, RunPhase::Stopping | RunPhase::Unconfirmed)
+        });
+        lasting.fold(ResourceSize::ZERO, |sum, run| sum + run.allocation)
+    }
+
     /// Grants a lease starting now: returns its expiry on the upstream's clock and records the
     /// latest possible expiry. Returns `None` if no lease can be granted.
     pub fn grant_lease(&mut self, now: u64, terms: LeaseTerms) -> Option<u64> {
--- a/crates/fleet/tests/fleet/held_capacity.rs
+++ b/crates/fleet/tests/fleet/held_capacity.rs
@@ -91,6 +91,27 @@
     assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
 }
 
+/// Guards against capacity that is held on an upstream where long-running tasks leave too little,
+/// so that it never becomes free.
+#[test]
+fn capacity_beside_long_running_tasks_is_not_held_for_one_that_does_not_fit() {
+    let (watch, batch) = (queue("watch", 1), queue("ledger", 2));
+    let queues = vec![watch.clone(), batch.clone()];
+    let mut simulation = fleet(config(queues, ResourceSize::ZERO), 1);
+    simulation.run_ms = Some(600_000);
+    let first = long_running(sized_step(1, 3));
+    simulation.submit(&submission("first", &watch, vec![first]));
+    simulation.run_until(simulation.now + 500);
+    let second = long_running(sized_step(1, 2));
+    simulation.submit(&submission("second", &watch, vec![second]));
+    simulation.run_until(simulation.now + 500);
+
+    simulation.submit(&submission("s1", &batch, vec![step(1)]));
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
+}
+
 /// Guards against steps at their team's upper limit that use up a pass's searches for runs to stop,
 /// so that another team's long-running task waits behind batch tasks.
 #[test]
