Hold no capacity for a long-running step while the policy service gives no answer

What callers would see (LOST): work without tickets stays queued on idle upstreams while the policy service is out, because a long-running step that cannot get tickets holds their capacity, and stops batch runs for it.

A step without tickets held capacity whether or not its queries were answered.

Change: after a query without an answer the step neither reserves nor preempts until one is answered. It queries as before.

Evidence: step_without_tickets_holds_no_capacity_while_the_policy_service_is_out fails before; its second half shows that the step starts once the service is back. Not seen by callers; found by looking for the class.

--- a/crates/fleet/src/owner/policy_queries.rs
+++ b/crates/fleet/src/owner/policy_queries.rs
@@ -370,6 +370,7 @@
             return;
         };
         step.pending_queries.remove(&query_id);
+        step.query_failed = matches!(outcome, QueryOutcome::Failed);
         let QueryOutcome::Answered(decision) = outcome else {
             return;
         };
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -104,7 +104,7 @@
         if request.needs_ticket {
             self.query_for_step(now, ready, &request, unplaced, view);
         }
-        if request.isolation != Isolation::None {
+        if request.isolation != Isolation::None || self.awaits_policy_service(now, ready) {
             return;
         }
         self.preempt_for(now, ready, &request, unplaced, view);
@@ -127,6 +127,12 @@
         !hosts.any_for(service.is_long()) || !self.step_of(ready).is_none_or(may_query)
     }
 
+    /// Returns whether the step has no valid ticket because its last query failed. Nobody knows when
+    /// it can start, so it holds no capacity meanwhile.
+    fn awaits_policy_service(&self, now: u64, ready: &ReadyStep) -> bool {
+        !ready.has_tickets(now) && self.step_of(ready).is_some_and(|step| step.query_failed)
+    }
+
     /// Returns whether the step has no valid ticket, and its query would wait for others.
     fn awaits_other_queries(&self, now: u64, ready: &ReadyStep, view: &FleetView) -> bool {
         self.is_query_futile(ready, view) && !ready.has_tickets(now) && !ready.holds_capacity
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -66,6 +66,8 @@
     pub pending_queries: BTreeSet<u64>,
     /// Earliest time of the next query.
     pub query_not_before: u64,
+    /// Whether the last query that ended got no usable answer.
+    pub query_failed: bool,
     /// Earliest time of the next attempt to arrange room for the gang.
     pub arrange_not_before: u64,
     /// Whether the gang has room and waits for a host to query.
--- a/crates/fleet/tests/fleet/held_capacity.rs
+++ b/crates/fleet/tests/fleet/held_capacity.rs
@@ -7,7 +7,7 @@
     ApprovedConfig, QueuePolicy, ResourceSize, StepSpec, SubmissionRecord, SubmissionState,
 };
 
-use crate::fixtures::{config, queue, step, submission};
+use crate::fixtures::{config, queue, step, submission, ticketed_queue};
 use crate::simulation::FleetSimulation;
 
 /// Time within which work must start for which there is capacity, in milliseconds: a submission may
@@ -112,6 +112,29 @@
     assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
 }
 
+/// Guards against capacity that is held while the policy service is out, for long-running tasks
+/// that cannot get tickets.
+#[test]
+fn step_without_tickets_holds_no_capacity_while_the_policy_service_is_out() {
+    let (watch, batch) = (ticketed_queue("watch", 1), queue("ledger", 2));
+    let queues = vec![watch.clone(), batch.clone()];
+    let mut simulation = fleet(config(queues, ResourceSize::ZERO), 2);
+    simulation.faults.failed_queries = 100;
+    let wide = long_running(sized_step(2, 4));
+    simulation.submit(&submission("standing", &watch, vec![wide]));
+    simulation.run_until(simulation.now + 1000);
+
+    simulation.submit(&submission("s1", &batch, vec![step(1)]));
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+    let state_while_out = simulation.state_of("s1");
+    simulation.faults.failed_queries = 0;
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+
+    assert_eq!(state_while_out, Some(SubmissionState::Running));
+    let state_after = simulation.state_of("standing");
+    assert_eq!(state_after, Some(SubmissionState::Running));
+}
+
 /// Guards against steps at their team's upper limit that use up a pass's searches for runs to stop,
 /// so that another team's long-running task waits behind batch tasks.
 #[test]
--- a/crates/fleet/tests/fleet/recorded_histories.rs
+++ b/crates/fleet/tests/fleet/recorded_histories.rs
@@ -12,6 +12,7 @@
     late_renewals: 0,
     failures: 0,
     lost_commits: 0,
+    failed_queries: 0,
 };
 
 fn submit(count: u32, chained: bool) -> HistoryEvent {
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -98,6 +98,8 @@
     pub failures: u64,
     /// Commits that are stored but whose reply is lost.
     pub lost_commits: u64,
+    /// Queries to the policy service that fail.
+    pub failed_queries: u64,
 }
 
 /// The simulated fleet.
@@ -625,7 +627,13 @@
                 }
             }
             Message::Query(epoch, query_id, upstreams) => {
-                let outcome = self.policy_decision(&upstreams);
+                let failed_queries = self.faults.failed_queries;
+                let fails = failed_queries > 0 && self.random.chance(failed_queries);
+                let outcome = if fails {
+                    QueryOutcome::Failed
+                } else {
+                    self.policy_decision(&upstreams)
+                };
                 if let Some((now, owner)) = self.owner_of(epoch) {
                     owner.on_query_outcome(now, query_id, &outcome);
                 }
