--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -177,6 +177,42 @@
     pub first_listed_number: u64,
 }
 
+/// Why an upstream is quarantined.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuarantineReason {
+    /// Runs failed there.
+    Failed,
+    /// A run stalled there.
+    Stalled,
+}
+
+impl QuarantineReason {
+    /// Returns the reason's name in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Failed => "failed",
+            Self::Stalled => "stalled",
+        }
+    }
+}
+
+/// The beginning of a time in which nothing is placed on an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QuarantineReport {
+    /// Identifier of the upstream.
+    pub upstream: Arc<str>,
+    /// Why it is quarantined.
+    pub reason: QuarantineReason,
+    /// How long the quarantine lasts, in milliseconds.
+    pub duration_ms: u64,
+    /// Number of quarantines since the last run that showed the upstream to be sound, including
+    /// this one.
+    pub count: u32,
+    /// Submissions whose failed runs were counted since then.
+    pub submissions: Vec<Arc<str>>,
+}
+
 /// An action that the owner's host executes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEffect {
@@ -202,6 +238,8 @@
     ReportIncarnation(IncarnationReport),
     /// Report that an upstream has forgotten finished runs.
     ReportMissingFinished(MissingFinishedRuns),
+    /// Report that an upstream is quarantined.
+    ReportQuarantine(QuarantineReport),
     /// Report that the runs of a silent upstream stay allocated.
     ReportHeldRuns(HeldRuns),
     /// Report that runs are no longer held.
--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -4,7 +4,7 @@
 
 use crate::model::{FinishedRun, RunOutcome, SubmissionState, TaskName};
 use crate::owner::submission_entry::{OccurrenceEntry, TaskPhase};
-use crate::owner::{OwnerMachine, StopReason};
+use crate::owner::{OwnerEffect, OwnerMachine, QuarantineReason, QuarantineReport, StopReason};
 
 /// Number of submissions with failed runs after which an upstream is quarantined; a completed run
 /// resets the count.
@@ -249,12 +249,17 @@
             entry.failed_submissions.push(submission.clone());
         }
         if entry.failed_submissions.len() >= QUARANTINE_FAILURES || entry.quarantine_count > 0 {
-            self.start_quarantine(now, upstream);
+            self.start_quarantine(now, upstream, QuarantineReason::Failed);
         }
     }
 
     /// Quarantines an upstream, each time for longer, unless it is quarantined already.
-    pub(super) fn start_quarantine(&mut self, now: u64, upstream: &Arc<str>) {
+    pub(super) fn start_quarantine(
+        &mut self,
+        now: u64,
+        upstream: &Arc<str>,
+        reason: QuarantineReason,
+    ) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
@@ -262,8 +267,16 @@
             return;
         }
         let doublings = entry.quarantine_count.min(MAX_QUARANTINE_DOUBLINGS);
-        entry.quarantined_until = now + (FIRST_QUARANTINE_MS << doublings);
+        let duration_ms = FIRST_QUARANTINE_MS << doublings;
+        entry.quarantined_until = now + duration_ms;
         entry.quarantine_count += 1;
-        entry.failed_submissions.clear();
+        let report = QuarantineReport {
+            upstream: upstream.clone(),
+            reason,
+            duration_ms,
+            count: entry.quarantine_count,
+            submissions: std::mem::take(&mut entry.failed_submissions),
+        };
+        self.effects.push(OwnerEffect::ReportQuarantine(report));
     }
 }
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -43,8 +43,8 @@
 pub use advice_load::{AdviceLoad, QueryHostCounts, TicketWaits};
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
 pub use effect::{
-    CrashReport, IncarnationReport, MissingFinishedRuns, OwnerEffect, QueryOrder, RenewOrder,
-    RestartReport, StartOrder, StopOrder, UnlistedReport,
+    CrashReport, IncarnationReport, MissingFinishedRuns, OwnerEffect, QuarantineReason,
+    QuarantineReport, QueryOrder, RenewOrder, RestartReport, StartOrder, StopOrder, UnlistedReport,
 };
 pub use held_runs::{HeldRuns, HeldRunsRelease, LeaseTerm, RecoveryBound, ReleaseCause};
 pub use incarnation_check::DoubtReason;
--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -7,7 +7,7 @@
 
 use crate::model::{RunOutcome, StepSpec, TaskName};
 use crate::owner::upstream_entry::{RunEntry, RunPhase};
-use crate::owner::{OwnerMachine, StopReason};
+use crate::owner::{OwnerMachine, QuarantineReason, StopReason};
 
 /// Minimum time without progress after which a run counts as stalled, in milliseconds.
 const MIN_STALL_MS: u64 = 1200;
@@ -44,7 +44,7 @@
             if let Some(task) = self.task_mut(&name) {
                 task.avoided_upstream = Some(upstream.clone());
             }
-            self.start_quarantine(now, upstream);
+            self.start_quarantine(now, upstream, QuarantineReason::Stalled);
         }
     }
 
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -9,9 +9,9 @@
 };
 use lagoonnotch_fleet::owner::{
     CommitBatch, CommitOutcome, CrashReport, DepartedUpstream, HeldRuns, HeldRunsRelease,
-    MissingFinishedRuns, OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision, QueryOutcome,
-    RecoveredState, RecoveryBound, RenewOrder, RestartReport, RosterEntry, StartOrder, StopOrder,
-    StoredSubmission,
+    MissingFinishedRuns, OwnerEffect, OwnerMachine, OwnerSettings, PolicyDecision,
+    QuarantineReport, QueryOutcome, RecoveredState, RecoveryBound, RenewOrder, RestartReport,
+    RosterEntry, StartOrder, StopOrder, StoredSubmission,
 };
 
 use crate::fixtures::{directory_read, report};
@@ -207,6 +207,8 @@
     pub restarts: Vec<RestartReport>,
     /// Reported finished runs that upstreams have forgotten.
     pub missing_finished: Vec<MissingFinishedRuns>,
+    /// Reported quarantines of upstreams.
+    pub quarantines: Vec<QuarantineReport>,
 }
 
 impl FleetSimulation {
@@ -279,6 +281,7 @@
             releases: Vec::new(),
             restarts: Vec::new(),
             missing_finished: Vec::new(),
+            quarantines: Vec::new(),
         }
     }
 
@@ -516,6 +519,7 @@
             OwnerEffect::ReportRelease(release) => self.releases.push(release),
             OwnerEffect::ReportRestart(report) => self.restarts.push(report),
             OwnerEffect::ReportMissingFinished(missing) => self.missing_finished.push(missing),
+            OwnerEffect::ReportQuarantine(report) => self.quarantines.push(report),
             OwnerEffect::ReportIncarnation(_)
             | OwnerEffect::ReportUnlisted(_)
             | OwnerEffect::StepDown => {}
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -6,8 +6,9 @@
 use lagoonnotch_fleet::model::{RenewReply, StartOutcome, StopOutcome};
 use lagoonnotch_fleet::owner::{
     AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease,
-    IncarnationReport, MissingFinishedRuns, OwnerEffect, PolicyDecision, QueryOrder, QueryOutcome,
-    RecoveryBound, RenewOrder, RestartReport, StartOrder, StopOrder, UnlistedReport,
+    IncarnationReport, MissingFinishedRuns, OwnerEffect, PolicyDecision, QuarantineReport,
+    QueryOrder, QueryOutcome, RecoveryBound, RenewOrder, RestartReport, StartOrder, StopOrder,
+    UnlistedReport,
 };
 use serde_json::json;
 
@@ -89,6 +90,7 @@
             OwnerEffect::ReportMissingFinished(missing) => {
                 self.report_missing_finished(epoch, &missing);
             }
+            OwnerEffect::ReportQuarantine(report) => self.report_quarantine(epoch, &report),
             OwnerEffect::ReportHeldRuns(held) => report_held_runs(epoch, &held),
             OwnerEffect::ReportRelease(release) => report_release(epoch, &release),
             OwnerEffect::StepDown => {}
@@ -188,6 +190,18 @@
         }));
     }
 
+    fn report_quarantine(&self, epoch: u64, report: &QuarantineReport) {
+        self.metrics.count_quarantine(report.reason.label());
+        FleetEvent::UpstreamQuarantined.emit(json!({
+            "epoch": epoch,
+            "upstream": report.upstream,
+            "reason": report.reason.label(),
+            "duration_ms": report.duration_ms,
+            "count": report.count,
+            "submissions": report.submissions,
+        }));
+    }
+
     async fn renew_leases(&self, order: RenewOrder, valid_until: u64) {
         let sent_at = now_ms();
         let outcome = if sent_at < valid_until {
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -158,6 +158,8 @@
     /// It is known again which incarnation of an upstream executes orders; nothing was started
     /// there meanwhile.
     IncarnationChecked = 1073, Info;
+    /// Nothing is placed on an upstream for a while because runs failed or stalled there.
+    UpstreamQuarantined = 1074, Warn;
 }
 
 impl FleetEvent {
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -77,6 +77,7 @@
     crashes: Family<ScopeLabel, Counter>,
     restarts: Family<KindLabel, Counter>,
     missing_finished: Counter,
+    quarantines: Family<ReasonLabel, Counter>,
     forwarded_renewals: Family<KindLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
@@ -98,6 +99,7 @@
             crashes: Family::default(),
             restarts: Family::default(),
             missing_finished: Counter::default(),
+            quarantines: Family::default(),
             forwarded_renewals: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
@@ -142,6 +144,11 @@
             "Finished runs that upstreams have forgotten before the owner saw them",
             self.missing_finished.clone(),
         );
+        registry.register(
+            "quarantines",
+            "Quarantines of upstreams because runs failed or stalled there",
+            self.quarantines.clone(),
+        );
         registry.register(
             "forwarded_renewals",
             "Lease renewals forwarded to other hosts",
@@ -235,6 +242,13 @@
         self.missing_finished.inc_by(runs);
     }
 
+    /// Counts a quarantine of an upstream, by reason.
+    pub fn count_quarantine(&self, reason: &'static str) {
+        self.quarantines
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Sets the numbers of active submissions and of runs that hold resources.
     pub fn set_load(&self, submissions: usize, runs: usize) {
         self.active_submissions.set(submissions as u64);
