Count a task's failures against two upstreams at most

Cause: an upstream is quarantined after failures of two submissions without a completed run between them, and after each further one until a run completes. Failures counted against the upstream whatever their tasks did elsewhere, so that such tasks closed one upstream after the other; a stalled run quarantined by itself.

Change: a task keeps the upstreams of its failed and stalled runs in a row. A failure counts against an upstream only if the task has none there and fewer than two elsewhere; a long-running run that was at work for 3 s ends the row. The next run avoids all of these upstreams.

--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -69,6 +69,11 @@
             .is_some_and(|run| run.attempt <= finished.attempt);
         if is_allocated && let Some(run) = self.release(now, upstream, &name) {
             self.record_slowdown(now, upstream, &name, &run, finished.outcome);
+            if run.was_at_work(now)
+                && let Some(task) = self.task_mut(&name)
+            {
+                task.failure_streak.end();
+            }
         }
         let Some(submission) = self.submissions.get(&name.submission) else {
             return 0;
@@ -84,7 +89,8 @@
             // The lease of this run had expired and a newer attempt is running: only that attempt
             // may complete the task.
             if finished.outcome == RunOutcome::Failed {
-                self.record_failed_attempt(now, upstream, &name, finished.attempt);
+                self.extend_failure_streak(upstream, &name);
+                self.record_failed_attempt(now, &name, finished.attempt);
             }
             return self.record_change(&id, false);
         }
@@ -190,20 +196,23 @@
 
     /// Handles a failed run.
     fn fail_task(&mut self, now: u64, upstream: &Arc<str>, name: &TaskName, attempt: u32) {
-        self.count_upstream_failure(now, upstream, &name.submission);
+        if self.extend_failure_streak(upstream, name) {
+            self.count_upstream_failure(now, upstream, &name.submission);
+        }
         self.stop_gang(now, name);
-        self.record_failed_attempt(now, upstream, name, attempt);
+        self.record_failed_attempt(now, name, attempt);
+    }
+
+    /// Records that a run of a task failed or stalled; returns whether that counts against the
+    /// upstream.
+    pub(super) fn extend_failure_streak(&mut self, upstream: &Arc<str>, name: &TaskName) -> bool {
+        let task = self.task_mut(name);
+        task.is_some_and(|task| task.failure_streak.record(upstream))
     }
 
     /// Records a failed attempt of a task; fails the submission once the task, or its gang, has
     /// used up the attempts that the queue allows. A long-running step never fails its submission.
-    fn record_failed_attempt(
-        &mut self,
-        now: u64,
-        upstream: &Arc<str>,
-        name: &TaskName,
-        attempt: u32,
-    ) {
+    fn record_failed_attempt(&mut self, now: u64, name: &TaskName, attempt: u32) {
         let Some(entry) = self.submissions.get(&name.submission) else {
             return;
         };
@@ -226,7 +235,6 @@
             return;
         };
         task.failed.insert(attempt);
-        task.avoided_upstream = Some(upstream.clone());
         task.not_before = now + FAILED_RETRY_DELAY_MS;
         let mut failed = task.failed.len();
         if spec.gang {
@@ -238,7 +246,7 @@
         }
     }
 
-    /// Counts a failed run against its upstream. Quarantines the upstream if runs of
+    /// Counts a failed run against its upstream, unless its task fails elsewhere too. Quarantines the upstream if runs of
     /// `QUARANTINE_FAILURES` submissions failed, or after any failure if no run has completed since
     /// the last quarantine.
     fn count_upstream_failure(&mut self, now: u64, upstream: &Arc<str>, submission: &Arc<str>) {
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod deferred_queries;
 mod due_queue;
 mod effect;
+mod failure_streak;
 mod finished_runs;
 mod fleet_view;
 mod gang_placement;
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -21,9 +21,9 @@
     pub step: usize,
     /// Indexes of the tasks that may start now.
     pub startable: Vec<u32>,
-    /// By task index, the upstream of the last failed or stalled run; it is used only if no other
-    /// one has room.
-    avoided_upstreams: HashMap<u32, Arc<str>>,
+    /// By task index, the upstreams of failed and stalled runs; they are used only if no other one
+    /// has room.
+    avoided_upstreams: HashMap<u32, Vec<Arc<str>>>,
     /// Time since which the longest-waiting task of the step has waited.
     pub waiting_since: u64,
     /// Number of the step's tasks on each upstream; counted only if the step limits it.
@@ -223,8 +223,9 @@
             request.startable.push(index);
             let since = task.not_before.max(entry.known_at);
             request.waiting_since = request.waiting_since.min(since);
-            if let Some(upstream) = &task.avoided_upstream {
-                request.avoided_upstreams.insert(index, upstream.clone());
+            let avoided = task.failure_streak.upstreams();
+            if !avoided.is_empty() {
+                request.avoided_upstreams.insert(index, avoided.to_vec());
             }
         }
         if request.isolation == Isolation::Strict {
@@ -270,12 +271,15 @@
         }
         let mut choices = Vec::new();
         for index in request.startable.iter().take(allowed) {
-            let avoided_upstream = request.avoided_upstreams.get(index);
+            let avoided = request.avoided_upstreams.get(index);
             let has_capacity = |candidate: &&mut Candidate| candidate.task_capacity > 0;
             let elsewhere = candidates
                 .iter_mut()
                 .filter(has_capacity)
-                .find(|candidate| avoided_upstream != Some(&pool.upstreams[candidate.position].id));
+                .find(|candidate| {
+                    let id = &pool.upstreams[candidate.position].id;
+                    avoided.is_none_or(|avoided| !avoided.contains(id))
+                });
             let chosen = match elsewhere {
                 Some(candidate) => Some(candidate),
                 None => candidates.iter_mut().find(has_capacity),
--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -27,7 +27,8 @@
 const SLOW_FACTOR: f64 = 2.2;
 
 impl OwnerMachine {
-    /// Stops stalled runs and quarantines their upstream.
+    /// Stops stalled runs, and quarantines the upstream unless the tasks have failed or stalled
+    /// elsewhere too.
     pub(super) fn stop_stalled_runs(&mut self, now: u64, upstream: &Arc<str>) {
         let Some(entry) = self.upstreams.get(upstream) else {
             return;
@@ -41,10 +42,9 @@
         for name in stalled {
             self.stop_run(now, upstream, &name, StopReason::Stalled);
             self.stop_gang(now, &name);
-            if let Some(task) = self.task_mut(&name) {
-                task.avoided_upstream = Some(upstream.clone());
+            if self.extend_failure_streak(upstream, &name) {
+                self.start_quarantine(now, upstream, QuarantineReason::Stalled);
             }
-            self.start_quarantine(now, upstream, QuarantineReason::Stalled);
         }
     }
 
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -7,6 +7,7 @@
     CrashRecord, ProgressRecord, RunRecord, StepProgress, SubmissionRecord, SubmissionState,
     TaskName,
 };
+use crate::owner::failure_streak::FailureStreak;
 use crate::owner::fleet_view::UpstreamIndex;
 
 /// Phase of a task.
@@ -38,8 +39,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// Number of times that a run of the task was preempted.
     pub preemptions: u32,
-    /// Upstream of the last failed or stalled run; the next run is placed elsewhere if possible.
-    pub avoided_upstream: Option<Arc<str>>,
+    /// Its failed and stalled runs; the next run is placed elsewhere if possible.
+    pub failure_streak: FailureStreak,
     /// Earliest time of the next start.
     pub not_before: u64,
 }
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -94,6 +94,14 @@
         self.confirmed_at = Some(now);
     }
 
+    /// Returns whether it is a long-running run that has been at work for a while. Such a run never
+    /// completes, so this shows that its task and its upstream are sound.
+    pub fn was_at_work(&self, now: u64) -> bool {
+        self.long_running
+            && self.percent >= AT_WORK_PERCENT
+            && now >= self.ordered_at + PROBE_TIMEOUT_MS
+    }
+
     /// Returns whether an order to start the run got no answer and may still be executed.
     fn has_unanswered_order(&self) -> bool {
         self.confirmed_at.is_none() || self.start_orders > 1
@@ -379,12 +387,10 @@
     pub fn check_long_running_probe(&mut self, now: u64, name: &TaskName) {
         let quarantined_until = self.quarantined_until;
         let is_sound = self.quarantine_count > 0
-            && self.runs.get(name).is_some_and(|run| {
-                run.long_running
-                    && run.percent >= AT_WORK_PERCENT
-                    && run.ordered_at >= quarantined_until
-                    && now >= run.ordered_at + PROBE_TIMEOUT_MS
-            });
+            && self
+                .runs
+                .get(name)
+                .is_some_and(|run| run.ordered_at >= quarantined_until && run.was_at_work(now));
         if is_sound {
             self.end_probation();
         }
--- /dev/null
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -0,0 +1,148 @@
+//! Tests of whether failed and stalled runs are laid to the task or to the upstream.
+
+use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec, SubmissionState};
+
+use crate::fixtures::{config, queue, step, submission};
+use crate::simulation::FleetSimulation;
+
+/// Time within which work must start for which there is capacity, in milliseconds: a submission may
+/// have nothing running for 3 s.
+const START_LIMIT_MS: u64 = 3000;
+
+/// Time after the end of the traffic from which that holds, in milliseconds.
+const FINISH_MS: u64 = 14_000;
+
+fn watch() -> QueuePolicy {
+    queue("watch", 1)
+}
+
+fn batch() -> QueuePolicy {
+    queue("ledger", 2)
+}
+
+fn long_running(count: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(count)
+    }
+}
+
+/// Returns a fleet of six upstreams of four cores whose owner has met all of them.
+fn fleet() -> FleetSimulation {
+    let queues = vec![watch(), batch(), queue("check", 0)];
+    let mut simulation = FleetSimulation::new(31, config(queues, ResourceSize::ZERO), 6);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1500);
+    simulation
+}
+
+/// Submits long-running tasks that fail on every upstream.
+fn submit_failing(simulation: &mut FleetSimulation, id: &str, count: u32) {
+    simulation.failing_submissions.insert(id.into());
+    simulation.submit(&submission(id, &watch(), vec![long_running(count)]));
+}
+
+/// Guards against sound upstreams that are quarantined again and again for submissions whose tasks
+/// fail everywhere, so that others' work does not start.
+#[test]
+fn tasks_that_fail_everywhere_close_no_upstreams() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(3000);
+    submit_failing(&mut simulation, "failing0", 5);
+    submit_failing(&mut simulation, "failing1", 5);
+    simulation.run_until(simulation.now + FINISH_MS);
+    simulation.quarantines.clear();
+
+    simulation.submit(&submission("s1", &batch(), vec![step(24)]));
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+
+    assert_eq!(simulation.quarantines, Vec::new());
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
+}
+
+/// Guards against the same where few upstreams may run the tasks.
+#[test]
+fn tasks_that_fail_on_the_only_upstream_do_not_close_it_for_others() {
+    let queues = vec![watch(), batch()];
+    let mut simulation = FleetSimulation::new(31, config(queues, ResourceSize::ZERO), 1);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1500);
+    simulation.run_ms = Some(3000);
+    submit_failing(&mut simulation, "failing0", 1);
+    submit_failing(&mut simulation, "failing1", 1);
+    simulation.run_until(simulation.now + FINISH_MS);
+
+    simulation.submit(&submission("s1", &batch(), vec![step(1)]));
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
+}
+
+/// Guards against long-running tasks that fail at once and start again at once, so that they occupy
+/// all capacity and others' work does not start.
+#[test]
+fn tasks_that_fail_everywhere_leave_capacity_to_others() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(3000);
+    submit_failing(&mut simulation, "failing0", 24);
+    simulation.run_until(simulation.now + FINISH_MS);
+
+    let whole = StepSpec {
+        demand: ResourceSize::new(4000, 1024, 0),
+        ..step(1)
+    };
+    simulation.submit(&submission("s1", &batch(), vec![whole]));
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
+}
+
+/// Guards against the opposite: an upstream that fails what it runs must be kept away from work,
+/// also beside tasks that fail everywhere.
+#[test]
+fn upstream_that_fails_everything_gets_few_runs() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(400);
+    simulation.failing_upstreams.insert("u0".into());
+    submit_failing(&mut simulation, "failing0", 2);
+    submit_failing(&mut simulation, "failing1", 2);
+    let end = simulation.now + FINISH_MS;
+    let mut submitted = Vec::new();
+    while simulation.now < end {
+        let id = format!("s{}", submitted.len());
+        simulation.submit(&submission(&id, &queue("check", 0), vec![step(2)]));
+        submitted.push(id);
+        simulation.run_until(simulation.now + 50);
+    }
+
+    let is_sound = |order: &&lagoonnotch_fleet::owner::StartOrder| {
+        order.task.submission.starts_with('s') && &*order.upstream == "u0"
+    };
+    let started = simulation.started.iter().filter(is_sound).count();
+    // The first failures and each of the five probes of 14 s start at most what fits there.
+    assert!(started <= 24, "{started} runs");
+    let failed = submitted
+        .iter()
+        .filter(|id| simulation.state_of(id) == Some(SubmissionState::Failed));
+    assert_eq!(failed.count(), 0);
+}
+
+/// Guards against upstreams that are quarantined one after the other for a task that makes no
+/// progress anywhere.
+#[test]
+fn task_that_stalls_everywhere_closes_few_upstreams() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(600_000);
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.shown_percent = Some(0);
+    }
+
+    simulation.submit(&submission("stalling", &batch(), vec![step(1)]));
+    simulation.run_until(simulation.now + FINISH_MS);
+
+    assert!(
+        simulation.quarantines.len() <= 2,
+        "{:?}",
+        simulation.quarantines
+    );
+}
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -25,6 +25,9 @@
 /// Interval between two reports of an upstream to the directory, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 1500;
 
+/// Time after which a run fails that always does, in milliseconds.
+const FAILURE_MS: u64 = 200;
+
 /// Time after which a crashed upstream is back, in milliseconds.
 const DOWNTIME_MS: u64 = 3000;
 
@@ -195,6 +198,10 @@
     pub store_unavailable: bool,
     /// Tasks that crash the upstream that starts them.
     pub deadly: BTreeSet<TaskName>,
+    /// Submissions whose runs fail on every upstream.
+    pub failing_submissions: BTreeSet<Arc<str>>,
+    /// Upstreams that fail every run.
+    pub failing_upstreams: BTreeSet<Arc<str>>,
     /// Crashes that the owner reported.
     pub crashes: Vec<CrashReport>,
     /// Bounds on the leases of earlier owners that new owners reported.
@@ -275,6 +282,8 @@
             run_ms: None,
             store_unavailable: false,
             deadly: BTreeSet::new(),
+            failing_submissions: BTreeSet::new(),
+            failing_upstreams: BTreeSet::new(),
             crashes: Vec::new(),
             recovery_bounds: Vec::new(),
             held: Vec::new(),
@@ -733,10 +742,14 @@
         let drawn = 200 + self.random.below(1500);
         let duration = self.run_ms.unwrap_or(drawn);
         let failed = self.random.chance(self.faults.failures);
-        let end = if failed {
-            RunOutcome::Failed
+        let always_fails = self.failing_submissions.contains(&order.task.submission)
+            || self.failing_upstreams.contains(&order.upstream);
+        let (duration, end) = if always_fails {
+            (FAILURE_MS, RunOutcome::Failed)
+        } else if failed {
+            (duration, RunOutcome::Failed)
         } else {
-            RunOutcome::Done
+            (duration, RunOutcome::Done)
         };
         let size = self.size_of(&order.task);
         let now = self.now;
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -377,7 +377,7 @@
                 | OwnerEffect::ReportHeldRuns(_)
                 | OwnerEffect::ReportIncarnation(_)
                 | OwnerEffect::ReportMissingFinished(_)
-            | OwnerEffect::ReportQuarantine(_)
+                | OwnerEffect::ReportQuarantine(_)
                 | OwnerEffect::ReportRecovery(_)
                 | OwnerEffect::ReportRelease(_)
                 | OwnerEffect::ReportRestart(_)
