--- /dev/null
+++ b/crates/soak/src/host/mod.rs
@@ -0,0 +1,5 @@
+//! The host daemons.
+
+mod host_process;
+
+pub use host_process::HostProcess;
