Let long-running suspects preempt and reserve once they may share an upstream

Cause: the answer of another upstream counts as a crash, so that the task was a suspect. Suspects neither preempt nor reserve, as nothing may be stopped for a task that waits for an upstream of its own; but a long-running suspect shares one after 0.5 s, and still waited for room by chance.

Change: a long-running suspect that may share an upstream preempts and reserves like any other long-running task.

--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -121,6 +121,16 @@
         }
     }
 
+    /// Returns whether the step's tasks must run apart, so that no capacity is made or kept free for
+    /// them. Long-running tasks do not wait for an upstream of their own for long.
+    pub fn awaits_isolation(&self) -> bool {
+        match self.isolation {
+            Isolation::None => false,
+            Isolation::Strict => true,
+            Isolation::Preferred => !self.spec().long_running,
+        }
+    }
+
     /// Returns whether the step's tasks would be away for too long if the upstream were lost.
     fn must_avoid(&self, upstream: &UpstreamView) -> bool {
         upstream.holds_long && self.spec().long_running
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -104,7 +104,7 @@
         if request.needs_ticket {
             self.query_for_step(now, ready, &request, unplaced, view);
         }
-        if request.isolation != Isolation::None || self.awaits_policy_service(now, ready) {
+        if request.awaits_isolation() || self.awaits_policy_service(now, ready) {
             return;
         }
         self.preempt_for(now, ready, &request, unplaced, view);
--- a/crates/fleet/tests/fleet/crashes.rs
+++ b/crates/fleet/tests/fleet/crashes.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
-use lagoonnotch_fleet::model::{ResourceSize, SubmissionState, TaskName};
+use lagoonnotch_fleet::model::{ResourceSize, StepSpec, SubmissionState, TaskName};
 
 use crate::fixtures::{config, queue, step, submission};
 use crate::simulation::FleetSimulation;
 
+/// Time within which a long-running task must be back in a full fleet, in milliseconds.
+const LONG_RUNNING_ABSENCE_MS: u64 = 6000;
+
 fn task(id: &str, index: u32) -> TaskName {
     TaskName {
         submission: id.into(),
@@ -177,3 +180,42 @@
     assert!(simulation.crashes.is_empty(), "{:?}", simulation.crashes);
     assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Completed));
 }
+
+/// Guards against a long-running task that is away for as long as its service is full, because its
+/// upstream's address went to another upstream: it was a suspect, and suspects neither preempted
+/// nor reserved.
+#[test]
+fn long_running_suspect_is_back_in_a_full_fleet() {
+    let (watch, batch) = (queue("watch", 1), queue("ledger", 2));
+    let queues = vec![watch.clone(), batch.clone()];
+    let mut simulation = FleetSimulation::new(31, config(queues, ResourceSize::ZERO), 3);
+    simulation.run_ms = Some(600_000);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1500);
+    let standing = StepSpec {
+        long_running: true,
+        demand: ResourceSize::new(2000, 1024, 0),
+        ..step(1)
+    };
+    simulation.submit(&submission("standing", &watch, vec![standing]));
+    simulation.run_until(simulation.now + 500);
+    let first = simulation.started[0].upstream.clone();
+    simulation.run_ms = Some(8000);
+    for number in 0..20 {
+        let id = format!("b{number}");
+        simulation.submit(&submission(&id, &batch, vec![step(4)]));
+        simulation.run_until(simulation.now + 100);
+    }
+
+    simulation.partitioned.insert(first.clone(), u64::MAX);
+    let lost = simulation.upstreams.get_mut(&first).expect("it is known");
+    lost.unlisted = true;
+    lost.runs.clear();
+    let now = simulation.now;
+    let owner = simulation.owner.as_mut().expect("the owner acts");
+    owner.on_other_incarnation(now, &first, &first);
+    let starts = start_count(&simulation, &task("standing", 0));
+    simulation.run_until(now + LONG_RUNNING_ABSENCE_MS);
+
+    assert!(start_count(&simulation, &task("standing", 0)) > starts);
+}
