Judge stalled runs by their own pace and the task's history

Cause: progress is reported in whole percent, and a run without a new one for 2.5 s counted as stalled, whatever its pace and however often the task had been stopped for it.

Change: the tolerated time doubles with each stalled run of the task, and is at least three times what each percent of the run has taken so far.

--- a/crates/fleet/src/owner/failure_streak.rs
+++ b/crates/fleet/src/owner/failure_streak.rs
@@ -17,6 +17,8 @@
 pub(super) struct FailureStreak {
     /// Upstreams on which the runs were, the latest last; each is listed once.
     upstreams: Vec<Arc<str>>,
+    /// Number of stalled runs.
+    stalls: u32,
 }
 
 impl FailureStreak {
@@ -33,9 +35,20 @@
         counts
     }
 
+    /// Records a stalled run. Returns whether it counts against its upstream.
+    pub fn record_stall(&mut self, upstream: &Arc<str>) -> bool {
+        self.stalls += 1;
+        self.record(upstream)
+    }
+
+    /// Returns the number of stalled runs.
+    pub fn stalls(&self) -> u32 {
+        self.stalls
+    }
+
     /// Ends the streak because a run was sound.
     pub fn end(&mut self) {
-        self.upstreams.clear();
+        *self = Self::default();
     }
 
     /// Returns the upstreams on which the task has failed or stalled, the latest last.
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -436,6 +436,14 @@
     }
 
     /// Returns the state of a task.
+    pub(super) fn task_of(&self, name: &TaskName) -> Option<&TaskEntry> {
+        let submission = self.submissions.get(&name.submission)?;
+        let occurrence = submission.occurrences.get(name.occurrence as usize)?;
+        let step = occurrence.steps.get(name.step as usize)?;
+        step.tasks.get(name.index as usize)
+    }
+
+    /// Returns the state of a task for changes.
     pub(super) fn task_mut(&mut self, name: &TaskName) -> Option<&mut TaskEntry> {
         self.submissions
             .get_mut(&name.submission)?
--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -12,10 +12,18 @@
 /// Minimum time without progress after which a run counts as stalled, in milliseconds.
 const MIN_STALL_MS: u64 = 1200;
 
-/// Upper limit of the tolerated time without progress, in milliseconds. The longest runs are
-/// expected to advance by one percent in less.
+/// Upper limit of the tolerated time without progress of a task that has not stalled yet, in
+/// milliseconds. Most runs advance by one percent in less.
 const MAX_STALL_MS: u64 = 2500;
 
+/// Maximum number of times that the tolerated time without progress is doubled, once for each stalled
+/// run of the task.
+const MAX_STALL_DOUBLINGS: u32 = 8;
+
+/// Multiple of the time that a run has taken for each percent so far within which the next one is
+/// expected.
+const PERCENT_TIME_FACTOR: u64 = 3;
+
 /// Smoothing factor of an upstream's mean slowdown: the weight of one run.
 const UPSTREAM_SMOOTHING: f64 = 0.3;
 
@@ -42,7 +50,8 @@
         for name in stalled {
             self.stop_run(now, upstream, &name, StopReason::Stalled);
             self.stop_gang(now, &name);
-            if self.extend_failure_streak(upstream, &name) {
+            let task = self.task_mut(&name);
+            if task.is_some_and(|task| task.failure_streak.record_stall(upstream)) {
                 self.start_quarantine(now, upstream, QuarantineReason::Stalled);
             }
         }
@@ -56,7 +65,12 @@
         let Some(spec) = spec else {
             return false;
         };
-        let max_stall_ms = (2 * spec.estimate_ms).clamp(MIN_STALL_MS, MAX_STALL_MS);
+        let stalls = self
+            .task_of(name)
+            .map_or(0, |task| task.failure_streak.stalls());
+        let max_stall_ms = (2 * spec.estimate_ms).clamp(MIN_STALL_MS, MAX_STALL_MS)
+            << stalls.min(MAX_STALL_DOUBLINGS);
+        let max_stall_ms = max_stall_ms.max(PERCENT_TIME_FACTOR * run.percent_time_ms());
         run.phase == RunPhase::Running
             && !spec.long_running
             && !spec.best_effort
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -102,6 +102,15 @@
             && now >= self.ordered_at + PROBE_TIMEOUT_MS
     }
 
+    /// Returns the mean time that each percent of progress has taken, in milliseconds; 0 if it is not
+    /// known.
+    pub fn percent_time_ms(&self) -> u64 {
+        if self.inherited || self.percent == 0 {
+            return 0;
+        }
+        self.percent_since.saturating_sub(self.ordered_at) / u64::from(self.percent)
+    }
+
     /// Returns whether an order to start the run got no answer and may still be executed.
     fn has_unanswered_order(&self) -> bool {
         self.confirmed_at.is_none() || self.start_orders > 1
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -146,3 +146,35 @@
         simulation.quarantines
     );
 }
+
+/// Guards against tasks that are stopped as stalled each time, because they take much longer than
+/// declared and advance by less than one percent in the tolerated time.
+#[test]
+fn task_far_longer_than_declared_is_done() {
+    for run_ms in [400_000, 3_600_000] {
+        let mut simulation = fleet();
+        simulation.run_ms = Some(run_ms);
+
+        simulation.submit(&submission("long", &batch(), vec![step(2)]));
+        simulation.run_until(simulation.now + run_ms + run_ms / 20);
+
+        let state = simulation.state_of("long");
+        assert_eq!(state, Some(SubmissionState::Completed), "{run_ms} ms");
+    }
+}
+
+/// Guards against the opposite: a task that stalls on broken upstreams must move on soon.
+#[test]
+fn task_that_stalls_on_two_upstreams_moves_to_a_sound_one() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(500);
+    for id in ["u0", "u1", "u2", "u3"] {
+        let upstream = simulation.upstreams.get_mut(id).expect("it is known");
+        upstream.stalled = true;
+    }
+
+    simulation.submit(&submission("s1", &batch(), vec![step(24)]));
+    simulation.run_until(simulation.now + 4 * START_LIMIT_MS);
+
+    assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Completed));
+}
