Keep no failed attempts of long-running tasks

What callers would see (LOST): the record of progress of a long-running submission grows with each failure of its tasks, since nothing limits these. Once it passes the longest value that the store takes, the commits of all other submissions in its lane are refused with it.

Cause: each failed attempt was kept and stored, also for long-running tasks, whose failures are not limited.

Change: they are neither kept nor stored, and those of older records are not read back.

--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -234,21 +234,25 @@
         let Some(task) = step.tasks.get_mut(name.index as usize) else {
             return;
         };
-        task.failed.insert(attempt);
         task.not_before = now + FAILED_RETRY_DELAY_MS;
+        // Nothing limits the failures of a long-running task, so they are not kept.
+        if spec.long_running {
+            return;
+        }
+        task.failed.insert(attempt);
         let mut failed = task.failed.len();
         if spec.gang {
             failed = step.gang_failures();
         }
-        if !spec.long_running && failed >= max_attempts as usize && entry.is_active() {
+        if failed >= max_attempts as usize && entry.is_active() {
             let id = record.id.clone();
             self.end_submission(now, &id, SubmissionState::Failed);
         }
     }
 
-    /// Counts a failed run against its upstream, unless its task fails elsewhere too. Quarantines the upstream if runs of
-    /// `QUARANTINE_FAILURES` submissions failed, or after any failure if no run has completed since
-    /// the last quarantine.
+    /// Counts a failed run against its upstream. Quarantines the upstream if runs of
+    /// `QUARANTINE_FAILURES` submissions failed, or after any counted failure if no run has completed
+    /// since the last quarantine.
     fn count_upstream_failure(&mut self, now: u64, upstream: &Arc<str>, submission: &Arc<str>) {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -28,7 +28,7 @@
     pub phase: TaskPhase,
     /// Highest known attempt number.
     pub attempt: u32,
-    /// Attempts that failed on their own, as opposed to being stopped.
+    /// Attempts that failed on their own, as opposed to being stopped; empty for a long-running task.
     pub failed: BTreeSet<u32>,
     /// Crashes of upstreams while the task was running there.
     pub crashes: Vec<CrashRecord>,
@@ -215,7 +215,9 @@
                     task.phase = TaskPhase::Done;
                 }
             }
-            for (index, failed) in &stored_step.failed {
+            let spec = self.record.steps.get(stored_step.step as usize);
+            let is_counted = spec.is_some_and(|spec| !spec.long_running);
+            for (index, failed) in stored_step.failed.iter().filter(|_| is_counted) {
                 if let Some(task) = step.tasks.get_mut(*index as usize) {
                     task.failed = failed.iter().copied().collect();
                 }
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -1,6 +1,8 @@
 //! Tests of whether failed and stalled runs are laid to the task or to the upstream.
 
-use lagoonnotch_fleet::model::{QueuePolicy, ResourceSize, StepSpec, SubmissionState};
+use lagoonnotch_fleet::model::{
+    ProgressRecord, QueuePolicy, ResourceSize, StepSpec, SubmissionState,
+};
 
 use crate::fixtures::{config, queue, step, submission};
 use crate::simulation::FleetSimulation;
@@ -178,3 +180,21 @@
 
     assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Completed));
 }
+
+/// Guards against a record of progress that grows with every failure of a long-running task until
+/// the store refuses it, and with it the commits of all other submissions.
+#[test]
+fn record_of_failing_long_running_tasks_does_not_grow() {
+    let mut simulation = fleet();
+    submit_failing(&mut simulation, "failing", 10);
+    simulation.run_until(simulation.now + FINISH_MS);
+    let earlier = simulation.progress["failing"].clone();
+    simulation.run_until(simulation.now + 60_000);
+    let later = &simulation.progress["failing"];
+
+    let attempts_of = |record: &ProgressRecord| {
+        let failed = record.steps.iter().flat_map(|step| &step.failed);
+        failed.map(|(_, attempts)| attempts.len()).sum::<usize>()
+    };
+    assert_eq!(attempts_of(later), attempts_of(&earlier));
+}
