Name reserved headroom and the parts of a soak by what they are

No behaviour changes: headroom is reserved, not held, and the stand-ins take what they are as a struct in place of tuples.

--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -203,8 +203,7 @@
         self.record_failed_attempt(now, name, attempt);
     }
 
-    /// Records that a run of a task failed or stalled; returns whether that counts against the
-    /// upstream.
+    /// Records that a run of a task failed; returns whether that counts against the upstream.
     pub(super) fn extend_failure_streak(&mut self, upstream: &Arc<str>, name: &TaskName) -> bool {
         let task = self.task_mut(name);
         task.is_some_and(|task| task.failure_streak.record(upstream))
--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -118,7 +118,7 @@
     /// Cached headroom of the teams examined in this pass.
     pub team_headrooms: HashMap<Arc<str>, ResourceSize>,
     /// Demand of each team's tasks for which earlier steps of the pass have reserved capacity.
-    held_headrooms: HashMap<Arc<str>, ResourceSize>,
+    reserved_headrooms: HashMap<Arc<str>, ResourceSize>,
     /// Number of victim searches that the pass may still make.
     pub preemption_searches_left: u32,
     /// Queries that are sent at the end of the pass if hosts are free.
@@ -144,7 +144,7 @@
     /// Discards what applied to an earlier pass only.
     fn begin_pass(&mut self, now: u64) {
         self.team_headrooms.clear();
-        self.held_headrooms.clear();
+        self.reserved_headrooms.clear();
         self.deferred_queries.clear();
         self.preemption_searches_left = super::preemption::MAX_PREEMPTION_SEARCHES;
         let forecasts_expired = now >= self.forecasts_since + MAX_FORECAST_AGE_MS;
@@ -163,15 +163,15 @@
     }
 
     /// Counts the demand of tasks for which capacity is reserved against their team's headroom.
-    pub fn hold_headroom(&mut self, team: Option<&Arc<str>>, demand: ResourceSize) {
+    pub fn reserve_headroom(&mut self, team: Option<&Arc<str>>, demand: ResourceSize) {
         if let Some(team) = team {
-            *self.held_headrooms.entry(team.clone()).or_default() += demand;
+            *self.reserved_headrooms.entry(team.clone()).or_default() += demand;
         }
     }
 
     /// Returns the demand of a team's tasks for which capacity is reserved.
-    fn held_headroom(&self, team: Option<&Arc<str>>) -> ResourceSize {
-        let held = team.and_then(|team| self.held_headrooms.get(team));
+    fn reserved_headroom(&self, team: Option<&Arc<str>>) -> ResourceSize {
+        let held = team.and_then(|team| self.reserved_headrooms.get(team));
         held.copied().unwrap_or_default()
     }
 
@@ -257,7 +257,7 @@
             pools: HashMap::new(),
             positions: vec![None; self.index_count as usize],
             team_headrooms: HashMap::new(),
-            held_headrooms: HashMap::new(),
+            reserved_headrooms: HashMap::new(),
             preemption_searches_left: super::preemption::MAX_PREEMPTION_SEARCHES,
             deferred_queries: DeferredQueries::default(),
             forecasts_since: now,
@@ -309,12 +309,12 @@
 
     /// Returns a team's headroom beyond the tasks for which earlier steps of the pass have reserved
     /// capacity.
-    pub(super) fn unheld_headroom(
+    pub(super) fn unreserved_headroom(
         &self,
         team: Option<&Arc<str>>,
         view: &mut FleetView,
     ) -> ResourceSize {
         let headroom = self.cached_team_headroom(team, view);
-        headroom.saturating_sub(&view.held_headroom(team))
+        headroom.saturating_sub(&view.reserved_headroom(team))
     }
 }
--- a/crates/fleet/src/owner/preemption.rs
+++ b/crates/fleet/src/owner/preemption.rs
@@ -243,7 +243,7 @@
         unplaced: usize,
         view: &mut FleetView,
     ) {
-        let headroom = self.unheld_headroom(request.team(), view);
+        let headroom = self.unreserved_headroom(request.team(), view);
         let unplaced = request.limit_to_headroom(unplaced, &headroom) as u64;
         let Some(step) = self.step_of(ready) else {
             return;
@@ -259,7 +259,7 @@
             .filter(|(_, upstream)| request.could_run(upstream, step))
             .filter_map(|(position, upstream)| {
                 let entry = self.upstreams.get(&upstream.id)?;
-                let occupied = upstream.reserved + entry.occupied_for_long();
+                let occupied = upstream.reserved + entry.long_running_allocation();
                 let reservable = upstream.capacity.saturating_sub(&occupied);
                 let soon_free = free_after_stops(request, upstream, entry);
                 let max_tasks = reservable
@@ -285,7 +285,7 @@
             upstream.reserved += allocation.saturating_mul(tasks);
         }
         let demand = request.spec().demand.saturating_mul(unplaced - missing);
-        view.hold_headroom(request.team(), demand);
+        view.reserve_headroom(request.team(), demand);
     }
 }
 
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -330,11 +330,11 @@
     }
 
     /// Returns the resources of the long-running runs that are not being stopped.
-    pub fn occupied_for_long(&self) -> ResourceSize {
-        let lasting = self.runs.values().filter(|run| {
+    pub fn long_running_allocation(&self) -> ResourceSize {
+        let long_running = self.runs.values().filter(|run| {
             run.long_running && !matches!(run.phase, RunPhase::Stopping | RunPhase::Unconfirmed)
         });
-        lasting.fold(ResourceSize::ZERO, |sum, run| sum + run.allocation)
+        long_running.fold(ResourceSize::ZERO, |sum, run| sum + run.allocation)
     }
 
     /// Grants a lease starting now: returns its expiry on the upstream's clock and records the
--- a/crates/soak/src/host/host_process.rs
+++ b/crates/soak/src/host/host_process.rs
@@ -12,6 +12,23 @@
 
 use crate::store::StoreAddress;
 
+/// What a host is.
+#[derive(Clone, Copy, Debug)]
+pub struct HostSpec<'a> {
+    /// Its program.
+    pub program: &'a Path,
+    /// Folder for its settings and its log.
+    pub folder: &'a Path,
+    /// Its name.
+    pub name: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// The IP address that it listens on.
+    pub ip: &'a str,
+    /// Longest lease that upstreams grant, in milliseconds.
+    pub max_lease_ms: u64,
+}
+
 /// Addresses of a host.
 #[derive(Clone, Debug)]
 struct HostAddresses {
@@ -46,14 +63,15 @@
     /// # Errors
     ///
     /// Fails if no ports are free, or if the process cannot be started.
-    pub fn start(
-        (program, folder): (&Path, &Path),
-        (domain, number): (&str, u32),
-        ip: &str,
-        store: StoreAddress,
-        max_lease_ms: u64,
-    ) -> Result<Self> {
-        let name = format!("host-{domain}-{number}");
+    pub fn start(spec: &HostSpec<'_>, store: StoreAddress) -> Result<Self> {
+        let HostSpec {
+            program,
+            folder,
+            name,
+            domain,
+            ip,
+            max_lease_ms,
+        } = *spec;
         let [callers, readiness, peer] = free_ports(ip)?;
         let addresses = HostAddresses {
             callers: format!("{ip}:{callers}"),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,9 +22,9 @@
 mod upstream;
 
 pub use caller::{CallerLog, CallerTask, Submission, WorkKind};
-pub use host::HostProcess;
+pub use host::{HostProcess, HostSpec};
 pub use plan::{FaultKind, FaultPlan, PlannedFault};
 pub use run_log::{RunEnd, RunLog, RunRecord};
 pub use soak::{SoakReport, SoakSettings, run_soak};
 pub use store::{StoreAddress, StoreModel, StoreServer};
-pub use upstream::{UpstreamModel, UpstreamPower, UpstreamServer};
+pub use upstream::{UpstreamModel, UpstreamPower, UpstreamServer, UpstreamSpec};
--- a/crates/soak/src/soak/soak_run.rs
+++ b/crates/soak/src/soak/soak_run.rs
@@ -10,12 +10,12 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::caller::{CALLER_TEAM_KEY, CallerLog, CallerTask, QUEUE_HOST, Submission, WorkKind};
-use crate::host::HostProcess;
+use crate::host::{HostProcess, HostSpec};
 use crate::plan::{FaultKind, FaultPlan};
 use crate::run_log::{RunEnd, RunLog};
 use crate::soak::SoakSettings;
 use crate::store::StoreServer;
-use crate::upstream::{UpstreamModel, UpstreamServer};
+use crate::upstream::{UpstreamModel, UpstreamServer, UpstreamSpec};
 
 /// Names of the failure domains.
 const DOMAINS: [&str; 3] = ["east", "north", "west"];
@@ -30,7 +30,7 @@
 const MAX_LEASE_MS: u64 = 10_000;
 
 /// Number of callers.
-const CALLERS: u64 = 8;
+const CALLERS: u32 = 8;
 
 /// Time by which every process is ready.
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -107,8 +107,13 @@
             .hosts
             .iter()
             .map(|host| host.caller_address().to_owned());
-        let mut caller = CallerTask::new(number, settings.seed, addresses.collect(), &caller_log);
-        let rate_per_s = settings.rate_per_s / 8.0;
+        let mut caller = CallerTask::new(
+            number.into(),
+            settings.seed,
+            addresses.collect(),
+            &caller_log,
+        );
+        let rate_per_s = settings.rate_per_s / f64::from(CALLERS);
         callers.push(tokio::spawn(async move {
             caller.submit_until(traffic_ends_at, rate_per_s).await;
             caller
@@ -161,21 +166,27 @@
             let clock_per_mille = 980 + u64::from(number * 7 % 21);
             let uptime_ms = 300_000 + 1000 * u64::from(number);
             let model = UpstreamModel::new(&id, uptime_ms, MAX_LEASE_MS, clock_per_mille, &log);
-            let seed = settings.seed ^ (u64::from(number) << 40);
-            let kind = (domain, POOL, UPSTREAM_CPU_MILLI);
-            let upstream = UpstreamServer::start(kind, (&id, model), seed, &store, &log).await?;
+            let spec = UpstreamSpec {
+                id: &id,
+                domain,
+                pool: POOL,
+                cpu_milli: UPSTREAM_CPU_MILLI,
+                seed: settings.seed ^ (u64::from(number) << 40),
+            };
+            let upstream = UpstreamServer::start(&spec, model, &store, &log).await?;
             cell.upstreams.push(upstream);
         }
         for (position, domain) in (1..).zip(DOMAINS) {
             for number in 1..=settings.hosts_per_domain {
-                let ip = format!("127.0.{position}.{number}");
-                let host = HostProcess::start(
-                    (&settings.program, &settings.folder),
-                    (domain, number),
-                    &ip,
-                    store.open_address().await?,
-                    MAX_LEASE_MS,
-                )?;
+                let spec = HostSpec {
+                    program: &settings.program,
+                    folder: &settings.folder,
+                    name: &format!("host-{domain}-{number}"),
+                    domain,
+                    ip: &format!("127.0.{position}.{number}"),
+                    max_lease_ms: MAX_LEASE_MS,
+                };
+                let host = HostProcess::start(&spec, store.open_address().await?)?;
                 cell.hosts.push(host);
             }
         }
--- a/crates/soak/src/upstream/upstream_server.rs
+++ b/crates/soak/src/upstream/upstream_server.rs
@@ -47,6 +47,21 @@
     Dark,
 }
 
+/// What an upstream is.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamSpec<'a> {
+    /// Its identifier.
+    pub id: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// Its pool.
+    pub pool: &'a str,
+    /// Its capacity, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Determines which orders are delayed.
+    pub seed: u64,
+}
+
 /// What harms the upstream now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct UpstreamHarm {
@@ -81,20 +96,18 @@
     ///
     /// Fails if no port is free.
     pub async fn start(
-        (domain, pool, cpu_milli): (&str, &str, u64),
-        model: (&str, UpstreamModel),
-        seed: u64,
+        spec: &UpstreamSpec<'_>,
+        model: UpstreamModel,
         store: &StoreServer,
         log: &RunLog,
     ) -> Result<Self> {
-        let (id, model) = model;
         let upstream = Self {
-            id: id.into(),
-            domain: domain.into(),
-            pool: pool.into(),
-            cpu_milli,
+            id: spec.id.into(),
+            domain: spec.domain.into(),
+            pool: spec.pool.into(),
+            cpu_milli: spec.cpu_milli,
             model: Arc::new(Mutex::new(model)),
-            random: Arc::new(Mutex::new(RandomSource::new(seed))),
+            random: Arc::new(Mutex::new(RandomSource::new(spec.seed))),
             harm: watch::Sender::new(UpstreamHarm {
                 power: UpstreamPower::On,
                 incarnation: 1,
