Give no task up for a second crash that many upstreams had in common

Cause: a widespread crash counted as the task's own if the task had an earlier one, and the second such crash has a task given up. Silent upstreams whose leases had expired were not counted as ended together.

Change: such a crash counts as shared, so that a third is needed; silent upstreams count if they had runs.

Evidence: task_is_not_given_up_for_upstreams_that_end_together fails without either part.

--- a/crates/fleet/src/owner/crash_suspects.rs
+++ b/crates/fleet/src/owner/crash_suspects.rs
@@ -218,7 +218,7 @@
         };
         for victim in victims {
             report.tasks.push(victim.name.clone());
-            self.record_victim(upstream, victim, scope, is_alone);
+            self.record_victim(upstream, victim, scope);
         }
         for victim in victims {
             if let Some(upstreams) = self.give_up(now, &victim.name) {
@@ -233,18 +233,13 @@
         let near = |at: u64| at.abs_diff(fell_at) <= WIDESPREAD_WINDOW_MS;
         let crashed = self.crashes.iter().filter(|(at, _)| near(*at)).count();
         let silent = self.upstreams.iter().filter(|(id, entry)| {
-            *id != upstream && !entry.runs.is_empty() && entry.silent_since.is_some_and(near)
+            let had_runs = !entry.runs.is_empty() || !entry.expired_runs.is_empty();
+            *id != upstream && had_runs && entry.silent_since.is_some_and(near)
         });
         1 + crashed + silent.count() >= WIDESPREAD_UPSTREAMS
     }
 
-    fn record_victim(
-        &mut self,
-        upstream: &Arc<str>,
-        victim: &CrashVictim,
-        scope: CrashScope,
-        is_alone: bool,
-    ) {
+    fn record_victim(&mut self, upstream: &Arc<str>, victim: &CrashVictim, scope: CrashScope) {
         let active = self.active.contains(&victim.name.submission);
         let Some(task) = self.task_mut(&victim.name).filter(|_| active) else {
             return;
@@ -253,9 +248,9 @@
         if task.phase == TaskPhase::Done || task.crashes.iter().any(known) {
             return;
         }
-        // A second crash is no coincidence, even if other upstreams ended as well.
+        // After an earlier crash the task may be the cause although other upstreams ended as well. That
+        // it ran alone proves nothing then: they may have ended together for another reason.
         let scope = match scope {
-            CrashScope::Widespread if !task.crashes.is_empty() && is_alone => CrashScope::Alone,
             CrashScope::Widespread if !task.crashes.is_empty() => CrashScope::Shared,
             scope => scope,
         };
--- a/crates/fleet/tests/fleet/crashes.rs
+++ b/crates/fleet/tests/fleet/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lagoonnotch_fleet::model::{ResourceSize, StepSpec, SubmissionState, TaskName};
+use lagoonnotch_fleet::model::{CrashScope, ResourceSize, StepSpec, SubmissionState, TaskName};
 
 use crate::fixtures::{config, queue, step, submission};
 use crate::simulation::FleetSimulation;
@@ -219,3 +219,44 @@
 
     assert!(start_count(&simulation, &task("standing", 0)) > starts);
 }
+
+/// Guards against giving a task up for upstreams that end together: it was done on one of them, which
+/// was cut off, before they ended.
+#[test]
+fn task_is_not_given_up_for_upstreams_that_end_together() {
+    let policy = queue("ledger", 2);
+    let mut simulation =
+        FleetSimulation::new(3, config(vec![policy.clone()], ResourceSize::ZERO), 5);
+    simulation.run_ms = Some(2000);
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1500);
+    simulation.submit(&submission("s1", &policy, vec![step(1)]));
+    simulation.run_until(simulation.now + 300);
+    let first = simulation.started[0].upstream.clone();
+    simulation.crash_upstream(&first);
+    while start_count(&simulation, &task("s1", 0)) < 2 {
+        simulation.run_until(simulation.now + 5);
+    }
+    for number in 0..8 {
+        let id = format!("beside{number}");
+        simulation.submit(&submission(&id, &policy, vec![step(2)]));
+    }
+    simulation.run_until(simulation.now + 400);
+
+    let cut_until = simulation.now + 5000;
+    let ids: Vec<Arc<str>> = simulation.upstreams.keys().cloned().collect();
+    for id in &ids {
+        simulation.partitioned.insert(id.clone(), cut_until);
+    }
+    simulation.run_until(simulation.now + 3000);
+    for id in &ids {
+        simulation.restart_upstream(id);
+    }
+    simulation.run_until(simulation.now + 20_000);
+
+    let reports = simulation.crashes.iter();
+    let widespread = reports.filter(|report| report.scope == CrashScope::Widespread);
+    assert!(widespread.count() >= 3);
+    let state = simulation.state_of("s1");
+    assert_eq!(state, Some(SubmissionState::Completed));
+}
