--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -1,4 +1,4 @@
-//! Tests of whether failed and stalled runs are laid to the task or to the upstream.
+//! Tests of whether failed and stalled runs are attributed to the task or to the upstream.
 
 use lagoonnotch_fleet::model::{
     ProgressRecord, QueuePolicy, ResourceSize, StepSpec, SubmissionState,
@@ -47,7 +47,7 @@
 /// Guards against sound upstreams that are quarantined again and again for submissions whose tasks
 /// fail everywhere, so that others' work does not start.
 #[test]
-fn tasks_that_fail_everywhere_close_no_upstreams() {
+fn tasks_that_fail_everywhere_quarantine_no_upstreams() {
     let mut simulation = fleet();
     simulation.run_ms = Some(3000);
     submit_failing(&mut simulation, "failing0", 5);
@@ -64,7 +64,7 @@
 
 /// Guards against the same where few upstreams may run the tasks.
 #[test]
-fn tasks_that_fail_on_the_only_upstream_do_not_close_it_for_others() {
+fn tasks_that_fail_on_the_only_upstream_do_not_quarantine_it_for_others() {
     let queues = vec![watch(), batch()];
     let mut simulation = FleetSimulation::new(31, config(queues, ResourceSize::ZERO), 1);
     simulation.take_over();
@@ -132,7 +132,7 @@
 /// Guards against upstreams that are quarantined one after the other for a task that makes no
 /// progress anywhere.
 #[test]
-fn task_that_stalls_everywhere_closes_few_upstreams() {
+fn task_that_stalls_everywhere_quarantines_few_upstreams() {
     let mut simulation = fleet();
     simulation.run_ms = Some(600_000);
     for upstream in simulation.upstreams.values_mut() {
