Delay the retries of long-running tasks that keep failing

Cause: a long-running task that fails is started again 20 ms later, for ever, and before work of a lower priority. Its capacity is allocated from the plan of a run until its end is processed, so tasks that fail at once keep their capacity allocated nearly all the time and use it for a small part of it. How small depends on how long the store takes for the commit before each start.

Change: from the third failed run in a row on, a long-running task is started again after 0.25 s, and each time after twice as long, up to 4 s. It must run again within 9 s of its last run. Event 1077 and lagoonnotch_delayed_retries_total tell of it.

--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -214,6 +214,17 @@
     pub submissions: Vec<Arc<str>>,
 }
 
+/// A delay before a long-running task that keeps failing is started again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryDelayReport {
+    /// Name of the task.
+    pub task: TaskName,
+    /// Number of its failed runs since its last sound one.
+    pub failures: u32,
+    /// How long it is not started, in milliseconds.
+    pub delay_ms: u64,
+}
+
 /// An action that the owner's host executes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEffect {
@@ -241,6 +252,8 @@
     ReportMissingFinished(MissingFinishedRuns),
     /// Report that an upstream is quarantined.
     ReportQuarantine(QuarantineReport),
+    /// Report that a task that keeps failing is not started for a while.
+    ReportRetryDelay(RetryDelayReport),
     /// Report that the runs of a silent upstream stay allocated.
     ReportHeldRuns(HeldRuns),
     /// Report that runs are no longer held.
--- a/crates/fleet/src/owner/failure_streak.rs
+++ b/crates/fleet/src/owner/failure_streak.rs
@@ -3,6 +3,10 @@
 //! A failure speaks of the task, of the upstream, or of both. A task that fails wherever it runs
 //! says nothing about its upstreams, and would otherwise close one after the other for all other
 //! work. So the runs of a task count against few upstreams, and once against each.
+//!
+//! Nothing limits the failures of a long-running task. One that fails wherever it runs would occupy
+//! capacity again as soon as a run has ended, ahead of waiting work of a lower priority. So its
+//! retries are delayed, each for longer.
 
 use std::sync::Arc;
 
@@ -12,18 +16,42 @@
 /// Number of upstreams that a streak remembers; the earliest are forgotten.
 const MAX_UPSTREAMS: usize = 4;
 
+/// Number of failed runs in a row after which the retries of a long-running task are delayed for
+/// longer. So many may be the fault of upstreams that are not quarantined yet.
+const MAX_PROMPT_RETRIES: u32 = 2;
+
+/// First of the longer delays, in milliseconds; doubles with each further failed run.
+const FIRST_BACKOFF_MS: u64 = 250;
+
+/// Maximum number of times that the delay is doubled, up to 4 s. A long-running task must run again
+/// 9 s after its last run; the rest of that time is for room to be found or made for it.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+
 /// Failed and stalled runs of a task since its last sound run.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FailureStreak {
     /// Upstreams on which the runs were, the latest last; each is listed once.
     upstreams: Vec<Arc<str>>,
+    /// Number of failed runs.
+    failures: u32,
     /// Number of stalled runs.
     stalls: u32,
 }
 
 impl FailureStreak {
-    /// Records a failed or stalled run. Returns whether it counts against its upstream.
-    pub fn record(&mut self, upstream: &Arc<str>) -> bool {
+    /// Records a failed run. Returns whether it counts against its upstream.
+    pub fn record_failure(&mut self, upstream: &Arc<str>) -> bool {
+        self.failures += 1;
+        self.record(upstream)
+    }
+
+    /// Records a stalled run. Returns whether it counts against its upstream.
+    pub fn record_stall(&mut self, upstream: &Arc<str>) -> bool {
+        self.stalls += 1;
+        self.record(upstream)
+    }
+
+    fn record(&mut self, upstream: &Arc<str>) -> bool {
         let known = self.upstreams.iter().position(|id| id == upstream);
         let counts = known.is_none() && self.upstreams.len() < MAX_COUNTED_UPSTREAMS;
         if let Some(position) = known {
@@ -35,17 +63,23 @@
         counts
     }
 
-    /// Records a stalled run. Returns whether it counts against its upstream.
-    pub fn record_stall(&mut self, upstream: &Arc<str>) -> bool {
-        self.stalls += 1;
-        self.record(upstream)
-    }
-
     /// Returns the number of stalled runs.
     pub fn stalls(&self) -> u32 {
         self.stalls
     }
 
+    /// Returns the number of failed runs.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Returns the delay before the next run of a long-running task, in milliseconds; `None` if the
+    /// task is retried promptly.
+    pub fn backoff_ms(&self) -> Option<u64> {
+        let doublings = self.failures.checked_sub(MAX_PROMPT_RETRIES + 1)?;
+        Some(FIRST_BACKOFF_MS << doublings.min(MAX_BACKOFF_DOUBLINGS))
+    }
+
     /// Ends the streak because a run was sound.
     pub fn end(&mut self) {
         *self = Self::default();
--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -4,7 +4,9 @@
 
 use crate::model::{FinishedRun, RunOutcome, SubmissionState, TaskName};
 use crate::owner::submission_entry::{OccurrenceEntry, TaskPhase};
-use crate::owner::{OwnerEffect, OwnerMachine, QuarantineReason, QuarantineReport, StopReason};
+use crate::owner::{
+    OwnerEffect, OwnerMachine, QuarantineReason, QuarantineReport, RetryDelayReport, StopReason,
+};
 
 /// Number of submissions with failed runs after which an upstream is quarantined; a completed run
 /// resets the count.
@@ -206,7 +208,7 @@
     /// Records that a run of a task failed; returns whether that counts against the upstream.
     pub(super) fn extend_failure_streak(&mut self, upstream: &Arc<str>, name: &TaskName) -> bool {
         let task = self.task_mut(name);
-        task.is_some_and(|task| task.failure_streak.record(upstream))
+        task.is_some_and(|task| task.failure_streak.record_failure(upstream))
     }
 
     /// Records a failed attempt of a task; fails the submission once the task, or its gang, has
@@ -236,6 +238,7 @@
         task.not_before = now + FAILED_RETRY_DELAY_MS;
         // Nothing limits the failures of a long-running task, so they are not kept.
         if spec.long_running {
+            self.back_off(now, name);
             return;
         }
         task.failed.insert(attempt);
@@ -249,6 +252,23 @@
         }
     }
 
+    /// Delays the next run of a long-running task that has failed several times in a row.
+    fn back_off(&mut self, now: u64, name: &TaskName) {
+        let Some(task) = self.task_mut(name) else {
+            return;
+        };
+        let Some(delay_ms) = task.failure_streak.backoff_ms() else {
+            return;
+        };
+        task.not_before = now + delay_ms;
+        let report = RetryDelayReport {
+            task: name.clone(),
+            failures: task.failure_streak.failures(),
+            delay_ms,
+        };
+        self.effects.push(OwnerEffect::ReportRetryDelay(report));
+    }
+
     /// Counts a failed run against its upstream. Quarantines the upstream if runs of
     /// `QUARANTINE_FAILURES` submissions failed, or after any counted failure if no run has completed
     /// since the last quarantine.
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -51,7 +51,8 @@
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
 pub use effect::{
     CrashReport, IncarnationReport, MissingFinishedRuns, OwnerEffect, QuarantineReason,
-    QuarantineReport, QueryOrder, RenewOrder, RestartReport, StartOrder, StopOrder, UnlistedReport,
+    QuarantineReport, QueryOrder, RenewOrder, RestartReport, RetryDelayReport, StartOrder,
+    StopOrder, UnlistedReport,
 };
 pub use held_runs::{HeldRuns, HeldRunsRelease, LeaseTerm, RecoveryBound, ReleaseCause};
 pub use incarnation_check::DoubtReason;
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -44,6 +44,64 @@
     simulation.submit(&submission(id, &watch(), vec![long_running(count)]));
 }
 
+/// Returns a fleet of upstreams of 32 cores whose owner has met all of them.
+fn fleet_of_large_upstreams(seed: u64, count: u32) -> FleetSimulation {
+    let queues = vec![watch(), batch()];
+    let mut simulation = FleetSimulation::new(seed, config(queues, ResourceSize::ZERO), count);
+    for upstream in simulation.upstreams.values_mut() {
+        upstream.capacity = ResourceSize::new(32_000, 131_072, 0);
+    }
+    simulation.take_over();
+    simulation.run_until(simulation.now + 1500);
+    simulation.run_ms = Some(3000);
+    simulation
+}
+
+/// Submits long-running submissions whose large tasks fail on every upstream.
+fn submit_large_failing(
+    simulation: &mut FleetSimulation,
+    submissions: u32,
+    tasks: u32,
+    cpu_milli: u64,
+) {
+    for number in 0..submissions {
+        let id = format!("failing{number}");
+        simulation.failing_submissions.insert(id.as_str().into());
+        let failing = StepSpec {
+            demand: ResourceSize::new(cpu_milli, 256, 0),
+            ..long_running(tasks)
+        };
+        simulation.submit(&submission(&id, &watch(), vec![failing]));
+    }
+}
+
+/// Submits a chain of four steps of one task each, and returns the longest time for which nothing
+/// of it ran until it was completed, in milliseconds.
+fn longest_wait_of_chain(simulation: &mut FleetSimulation, cpu_milli: u64) -> u64 {
+    let link = |after: Vec<u32>| StepSpec {
+        demand: ResourceSize::new(cpu_milli, 256, 0),
+        estimate_ms: 3000,
+        after,
+        ..step(1)
+    };
+    let steps = vec![link(vec![]), link(vec![0]), link(vec![1]), link(vec![2])];
+    simulation.submit(&submission("chain", &batch(), steps));
+    let end = simulation.now + 40_000;
+    let (mut longest, mut present_at) = (0, simulation.now);
+    while simulation.now < end && simulation.state_of("chain") != Some(SubmissionState::Completed) {
+        simulation.run_until(simulation.now + 10);
+        let mut runs = simulation
+            .upstreams
+            .values()
+            .flat_map(|upstream| &upstream.runs);
+        if runs.any(|(name, _)| &*name.submission == "chain") {
+            present_at = simulation.now;
+        }
+        longest = longest.max(simulation.now - present_at);
+    }
+    longest
+}
+
 /// Guards against sound upstreams that are quarantined again and again for submissions whose tasks
 /// fail everywhere, so that others' work does not start.
 #[test]
@@ -99,6 +157,64 @@
     assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
 }
 
+/// Guards against long-running tasks that fail at once, start again at once, and so keep most of the
+/// capacity allocated although they hardly use it. How much of the time they do depends on how long
+/// the store takes for a commit, before which no run starts.
+#[test]
+fn tasks_that_fail_everywhere_leave_whole_upstreams_to_a_chain() {
+    let mut late = Vec::new();
+    for history in 0..100 {
+        let mut simulation = fleet_of_large_upstreams(history, 6);
+        simulation.commit_ms = 300 + history;
+        submit_large_failing(&mut simulation, 2, 5, 12_000);
+        simulation.run_until(simulation.now + FINISH_MS);
+
+        let wait_ms = longest_wait_of_chain(&mut simulation, 24_000);
+
+        if wait_ms > START_LIMIT_MS {
+            late.push((history, wait_ms));
+        }
+    }
+
+    assert_eq!(late, Vec::new(), "(history, longest wait in milliseconds)");
+}
+
+/// Guards against a task that is given up because it fails again and again: a long-running task must
+/// run again within 9 s of its last run.
+#[test]
+fn long_running_task_that_keeps_failing_is_retried_for_good() {
+    const RESTART_LIMIT_MS: u64 = 9000;
+    let mut simulation = fleet();
+    submit_failing(&mut simulation, "failing", 1);
+    let end = simulation.now + 60_000;
+    let mut absent_since = simulation.now;
+    while simulation.now < end {
+        simulation.run_until(simulation.now + 10);
+        let mut upstreams = simulation.upstreams.values();
+        if upstreams.any(|upstream| !upstream.runs.is_empty()) {
+            absent_since = simulation.now;
+        }
+
+        assert!(simulation.now - absent_since < RESTART_LIMIT_MS);
+    }
+}
+
+/// Guards against a sound task that is kept waiting because the first two upstreams that it met
+/// were broken.
+#[test]
+fn task_that_fails_on_two_broken_upstreams_is_retried_promptly() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(600_000);
+    simulation.failing_upstreams.insert("u0".into());
+    simulation.failing_upstreams.insert("u1".into());
+
+    simulation.submit(&submission("s1", &watch(), vec![long_running(4)]));
+    simulation.run_until(simulation.now + 1000);
+
+    let sound = ["u2", "u3", "u4", "u5"].map(|id| simulation.upstreams[id].runs.len());
+    assert_eq!(sound.iter().sum::<usize>(), 4);
+}
+
 /// Guards against the opposite: an upstream that fails what it runs must be kept away from work,
 /// also beside tasks that fail everywhere.
 #[test]
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -26,6 +26,9 @@
 /// Interval between two reports of an upstream to the directory, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 1500;
 
+/// Time from a commit until the store has written it, in milliseconds.
+const COMMIT_MS: u64 = 4;
+
 /// Time after which a run fails that always does, in milliseconds.
 const FAILURE_MS: u64 = 200;
 
@@ -193,6 +196,8 @@
     pub query_hosts: u32,
     /// Duration of a query to the policy service, in milliseconds.
     pub query_ms: u64,
+    /// Time from a commit until the store has written it, in milliseconds.
+    pub commit_ms: u64,
     /// Duration of each run, in milliseconds; `None` draws it at random.
     pub run_ms: Option<u64>,
     /// Whether commits are neither stored nor replied to.
@@ -286,6 +291,7 @@
             allowed: None,
             query_hosts: 1,
             query_ms: 500,
+            commit_ms: COMMIT_MS,
             run_ms: None,
             store_unavailable: false,
             deadly: BTreeSet::new(),
@@ -525,7 +531,7 @@
                 self.stopped.push(order.clone());
                 self.push(1, Message::Stop(order, self.now));
             }
-            OwnerEffect::Commit(batch) => self.push(4, Message::Commit(epoch, batch)),
+            OwnerEffect::Commit(batch) => self.push(self.commit_ms, Message::Commit(epoch, batch)),
             OwnerEffect::Query(order) => {
                 self.queries
                     .push((order.step.clone(), order.upstreams.len()));
@@ -542,6 +548,7 @@
             OwnerEffect::ReportDeferral(report) => self.deferrals.push(report),
             OwnerEffect::ReportRestore(report) => self.restores.push(report),
             OwnerEffect::ReportIncarnation(_)
+            | OwnerEffect::ReportRetryDelay(_)
             | OwnerEffect::ReportUnlisted(_)
             | OwnerEffect::StepDown => {}
         }
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -7,8 +7,8 @@
 use lagoonnotch_fleet::owner::{
     AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease,
     IncarnationReport, MissingFinishedRuns, OwnerEffect, PolicyDecision, QuarantineReport,
-    QueryOrder, QueryOutcome, RecoveryBound, RenewOrder, RestartReport, StartOrder, StopOrder,
-    UnlistedReport,
+    QueryOrder, QueryOutcome, RecoveryBound, RenewOrder, RestartReport, RetryDelayReport,
+    StartOrder, StopOrder, UnlistedReport,
 };
 use serde_json::json;
 
@@ -92,6 +92,7 @@
                 self.report_missing_finished(epoch, &missing);
             }
             OwnerEffect::ReportQuarantine(report) => self.report_quarantine(epoch, &report),
+            OwnerEffect::ReportRetryDelay(report) => self.report_retry_delay(epoch, &report),
             OwnerEffect::ReportDeferral(report) => report_deferral(epoch, &report),
             OwnerEffect::ReportRestore(report) => report_restore(epoch, &report),
             OwnerEffect::ReportHeldRuns(held) => report_held_runs(epoch, &held),
@@ -205,6 +206,17 @@
         }));
     }
 
+    fn report_retry_delay(&self, epoch: u64, report: &RetryDelayReport) {
+        self.metrics.count_delayed_retry();
+        FleetEvent::RetryDelayed.emit(json!({
+            "epoch": epoch,
+            "request": report.task.submission,
+            "task": report.task.to_string(),
+            "failures": report.failures,
+            "delay_ms": report.delay_ms,
+        }));
+    }
+
     async fn renew_leases(&self, order: RenewOrder, valid_until: u64) {
         let sent_at = now_ms();
         let outcome = if sent_at < valid_until {
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -162,6 +162,8 @@
     IncarnationChecked = 1073, Info;
     /// Nothing is placed on an upstream for a while because runs failed or stalled there.
     UpstreamQuarantined = 1074, Warn;
+    /// A long-running task that keeps failing is not started again for a while.
+    RetryDelayed = 1077, Info;
     /// The memory for requests is exhausted: requests are refused or closed.
     RequestMemoryFull = 1080, Warn;
     /// A client's connection was closed early.
--- a/crates/host/src/metrics/fleet_metrics.rs
+++ b/crates/host/src/metrics/fleet_metrics.rs
@@ -92,6 +92,7 @@
     restarts: Family<KindLabel, Counter>,
     missing_finished: Counter,
     quarantines: Family<ReasonLabel, Counter>,
+    delayed_retries: Counter,
     forwarded_renewals: Family<KindLabel, Counter>,
     active_submissions: Gauge<u64, AtomicU64>,
     booked_runs: Gauge<u64, AtomicU64>,
@@ -120,6 +121,7 @@
             restarts: Family::default(),
             missing_finished: Counter::default(),
             quarantines: Family::default(),
+            delayed_retries: Counter::default(),
             forwarded_renewals: Family::default(),
             active_submissions: Gauge::default(),
             booked_runs: Gauge::default(),
@@ -175,6 +177,11 @@
             "Quarantines of upstreams because runs failed or stalled there",
             self.quarantines.clone(),
         );
+        registry.register(
+            "delayed_retries",
+            "Delayed restarts of long-running tasks that keep failing",
+            self.delayed_retries.clone(),
+        );
         registry.register(
             "forwarded_renewals",
             "Lease renewals forwarded to other hosts",
@@ -335,6 +342,11 @@
             .inc();
     }
 
+    /// Counts a delayed restart of a long-running task that keeps failing.
+    pub fn count_delayed_retry(&self) {
+        self.delayed_retries.inc();
+    }
+
     /// Sets the numbers of active submissions and of runs that hold resources.
     pub fn set_load(&self, submissions: usize, runs: usize) {
         self.active_submissions.set(submissions as u64);
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -385,6 +385,7 @@
                 | OwnerEffect::ReportRelease(_)
                 | OwnerEffect::ReportRestart(_)
                 | OwnerEffect::ReportRestore(_)
+                | OwnerEffect::ReportRetryDelay(_)
                 | OwnerEffect::ReportUnlisted(_)
                 | OwnerEffect::StepDown => {}
             }
