Count a step's failed runs against each upstream once

Cause: the failures of a task count against two upstreams at most, but a step may have many tasks. Each of them adds its two failures, so that all upstreams are quarantined again, for up to 12 s.

Change: a step keeps the upstreams against which runs of its tasks have counted since the last sound run of any of them; each counts once. A sound run is a completed one, or a long-running one that was at work for 3 s, which is seen while it runs.

Weighed: at most three upstreams for each step. It made a step that stalls on four broken upstreams take too long (task_that_stalls_on_two_upstreams_moves_to_a_sound_one failed), and leaves broken upstreams in use.

--- a/crates/fleet/src/owner/failure_streak.rs
+++ b/crates/fleet/src/owner/failure_streak.rs
@@ -1,4 +1,4 @@
-//! Failed and stalled runs of one task in a row.
+//! Failed and stalled runs in a row, of one task and of all tasks of a step.
 //!
 //! A failure speaks of the task, of the upstream, or of both. A task that fails wherever it runs
 //! says nothing about its upstreams, and would otherwise close one after the other for all other
@@ -8,6 +8,7 @@
 //! capacity again as soon as a run has ended, ahead of waiting work of a lower priority. So its
 //! retries are delayed, each for longer.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Number of upstreams against which the failures of a task count.
@@ -39,13 +40,13 @@
 }
 
 impl FailureStreak {
-    /// Records a failed run. Returns whether it counts against its upstream.
+    /// Records a failed run. Returns whether it may count against its upstream.
     pub fn record_failure(&mut self, upstream: &Arc<str>) -> bool {
         self.failures += 1;
         self.record(upstream)
     }
 
-    /// Records a stalled run. Returns whether it counts against its upstream.
+    /// Records a stalled run. Returns whether it may count against its upstream.
     pub fn record_stall(&mut self, upstream: &Arc<str>) -> bool {
         self.stalls += 1;
         self.record(upstream)
@@ -90,3 +91,24 @@
         &self.upstreams
     }
 }
+
+/// Failed and stalled runs of a step's tasks since the last sound run of any of them. Each upstream
+/// counts once: a step with many tasks that fail wherever they run would otherwise have it
+/// quarantined again with each of them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StepFailureStreak {
+    /// Upstreams against which a run has counted.
+    upstreams: BTreeSet<Arc<str>>,
+}
+
+impl StepFailureStreak {
+    /// Records a failed or stalled run. Returns whether it counts against its upstream.
+    pub fn record(&mut self, upstream: &Arc<str>) -> bool {
+        self.upstreams.insert(upstream.clone())
+    }
+
+    /// Ends the streak because a run was sound.
+    pub fn end(&mut self) {
+        self.upstreams.clear();
+    }
+}
--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -71,10 +71,11 @@
             .is_some_and(|run| run.attempt <= finished.attempt);
         if is_allocated && let Some(run) = self.release(now, upstream, &name) {
             self.record_slowdown(now, upstream, &name, &run, finished.outcome);
-            if run.was_at_work(now)
-                && let Some(task) = self.task_mut(&name)
-            {
-                task.failure_streak.end();
+            if run.was_at_work(now) {
+                if let Some(task) = self.task_mut(&name) {
+                    task.failure_streak.end();
+                }
+                self.end_step_streak(&name);
             }
         }
         let Some(submission) = self.submissions.get(&name.submission) else {
@@ -160,6 +161,7 @@
         else {
             return;
         };
+        step.failure_streak.end();
         let mut other_members = Vec::new();
         for (index, task) in (0..).zip(&mut step.tasks) {
             if (gang || index == name.index) && task.phase != TaskPhase::Done {
@@ -208,7 +210,22 @@
     /// Records that a run of a task failed; returns whether that counts against the upstream.
     pub(super) fn extend_failure_streak(&mut self, upstream: &Arc<str>, name: &TaskName) -> bool {
         let task = self.task_mut(name);
-        task.is_some_and(|task| task.failure_streak.record_failure(upstream))
+        let may_count = task.is_some_and(|task| task.failure_streak.record_failure(upstream));
+        may_count && self.extend_step_streak(upstream, name)
+    }
+
+    /// Records that a run of a step's task failed or stalled; returns whether that counts against
+    /// the upstream.
+    pub(super) fn extend_step_streak(&mut self, upstream: &Arc<str>, name: &TaskName) -> bool {
+        let step = self.step_mut(&name.submission, name.occurrence, name.step);
+        step.is_some_and(|step| step.failure_streak.record(upstream))
+    }
+
+    /// Records that a run of a step's task was sound.
+    pub(super) fn end_step_streak(&mut self, name: &TaskName) {
+        if let Some(step) = self.step_mut(&name.submission, name.occurrence, name.step) {
+            step.failure_streak.end();
+        }
     }
 
     /// Records a failed attempt of a task; fails the submission once the task, or its gang, has
--- a/crates/fleet/src/owner/inventory.rs
+++ b/crates/fleet/src/owner/inventory.rs
@@ -316,7 +316,11 @@
             {
                 run.phase = RunPhase::Running;
             }
+            let is_sound = run.was_at_work(now);
             entry.check_long_running_probe(now, name);
+            if is_sound {
+                self.end_step_streak(name);
+            }
             if !report.checkpoint.is_empty() {
                 if let Some(task) = self.task_mut(name) {
                     task.checkpoint = Some(report.checkpoint.clone());
--- a/crates/fleet/src/owner/run_progress.rs
+++ b/crates/fleet/src/owner/run_progress.rs
@@ -51,7 +51,8 @@
             self.stop_run(now, upstream, &name, StopReason::Stalled);
             self.stop_gang(now, &name);
             let task = self.task_mut(&name);
-            if task.is_some_and(|task| task.failure_streak.record_stall(upstream)) {
+            let may_count = task.is_some_and(|task| task.failure_streak.record_stall(upstream));
+            if may_count && self.extend_step_streak(upstream, &name) {
                 self.start_quarantine(now, upstream, QuarantineReason::Stalled);
             }
         }
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -7,7 +7,7 @@
     CrashRecord, ProgressRecord, RateRecord, RunRecord, StepProgress, SubmissionRecord,
     SubmissionState, TaskName,
 };
-use crate::owner::failure_streak::FailureStreak;
+use crate::owner::failure_streak::{FailureStreak, StepFailureStreak};
 use crate::owner::fleet_view::UpstreamIndex;
 
 /// Phase of a task.
@@ -79,6 +79,8 @@
     pub awaits_query_host: bool,
     /// Earliest time of the next search for victims.
     pub preemption_not_before: u64,
+    /// Failed and stalled runs of its tasks.
+    pub failure_streak: StepFailureStreak,
     /// Latest checkpoint of any member of the gang.
     pub gang_checkpoint: Option<Arc<str>>,
 }
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -179,6 +179,26 @@
     assert_eq!(late, Vec::new(), "(history, longest wait in milliseconds)");
 }
 
+/// Guards against upstreams that are all quarantined at once, again and for longer, because each of
+/// the many tasks of a step that fails everywhere counts against some of them.
+#[test]
+fn wide_steps_that_fail_everywhere_quarantine_upstreams_once_each() {
+    let mut late = Vec::new();
+    for history in 0..20 {
+        let mut simulation = fleet_of_large_upstreams(history, 6);
+        submit_large_failing(&mut simulation, 2, 12, 24_000);
+        simulation.run_until(simulation.now + FINISH_MS);
+
+        let wait_ms = longest_wait_of_chain(&mut simulation, 24_000);
+
+        if wait_ms > START_LIMIT_MS {
+            late.push((history, wait_ms));
+        }
+    }
+
+    assert_eq!(late, Vec::new(), "(history, longest wait in milliseconds)");
+}
+
 /// Guards against a task that is given up because it fails again and again: a long-running task must
 /// run again within 9 s of its last run.
 #[test]
