Move quarantines to a module of their own

Cause: quarantines are to depend on the state of their pool, which finished_runs.rs need not know. Change: the code is moved unchanged.

--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -29,6 +29,7 @@
 mod planned_start;
 mod policy_queries;
 mod preemption;
+mod quarantine;
 mod query_answer;
 mod query_dispatcher;
 mod query_usage;
