End long quarantines early in a pool that is mostly closed and idle

Cause: each quarantine of an upstream is twice as long as the one before, up to 12 s, whatever the rest of the pool can do. Several submissions that fail everywhere, or upstreams that were all broken for a while, close all of a pool at once.

Change: while a step finds no room in a pool of which at least half, and more than one upstream, is quarantined and under half is allocated, quarantines there end after 1.5 s. The step must have a task that may start and has not failed. Event 1078 tells of it. Probation is unchanged.

Weighed: a bound on the share of a pool that may be quarantined, which keeps broken upstreams in use where others have room. Weighed: ending quarantines in any idle pool, also of one upstream. It fed an upstream that still failed everything (failing_upstream_gets_few_runs: 5 probes in 10 s, at most 3 are allowed).

Result: the new test fails without the change and passes with it.

--- a/crates/fleet/src/owner/effect.rs
+++ b/crates/fleet/src/owner/effect.rs
@@ -214,6 +214,18 @@
     pub submissions: Vec<Arc<str>>,
 }
 
+/// The early end of a quarantine, because a step found no room in a pool that is mostly quarantined
+/// and mostly idle.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShortenedQuarantine {
+    /// Identifier of the upstream.
+    pub upstream: Arc<str>,
+    /// How long the quarantine has lasted, in milliseconds.
+    pub lasted_ms: u64,
+    /// How much longer it would have lasted, in milliseconds.
+    pub shortened_by_ms: u64,
+}
+
 /// A delay before a long-running task that keeps failing is started again.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RetryDelayReport {
@@ -252,6 +264,8 @@
     ReportMissingFinished(MissingFinishedRuns),
     /// Report that an upstream is quarantined.
     ReportQuarantine(QuarantineReport),
+    /// Report that a quarantine ends early.
+    ReportShortenedQuarantine(ShortenedQuarantine),
     /// Report that a task that keeps failing is not started for a while.
     ReportRetryDelay(RetryDelayReport),
     /// Report that the runs of a silent upstream stay allocated.
--- a/crates/fleet/src/owner/mod.rs
+++ b/crates/fleet/src/owner/mod.rs
@@ -52,8 +52,8 @@
 pub use commit_queue::{CommitBatch, CommitOutcome, EndedSubmission};
 pub use effect::{
     CrashReport, IncarnationReport, MissingFinishedRuns, OwnerEffect, QuarantineReason,
-    QuarantineReport, QueryOrder, RenewOrder, RestartReport, RetryDelayReport, StartOrder,
-    StopOrder, UnlistedReport,
+    QuarantineReport, QueryOrder, RenewOrder, RestartReport, RetryDelayReport, ShortenedQuarantine,
+    StartOrder, StopOrder, UnlistedReport,
 };
 pub use held_runs::{HeldRuns, HeldRunsRelease, LeaseTerm, RecoveryBound, ReleaseCause};
 pub use incarnation_check::DoubtReason;
--- a/crates/fleet/src/owner/owner_machine.rs
+++ b/crates/fleet/src/owner/owner_machine.rs
@@ -96,6 +96,8 @@
     pub(super) crashes: CrashHistory,
     /// Time at which the last suspects no longer run apart.
     pub(super) isolation_ends_at: u64,
+    /// Time at which the last quarantine ends; 0 if there was none.
+    pub(super) quarantines_end_at: u64,
     /// Time of the takeover.
     pub(super) took_over_at: u64,
     /// Time by which every lease of earlier owners has expired.
@@ -168,6 +170,7 @@
             awaiting_first_reply: BTreeMap::new(),
             crashes: CrashHistory::default(),
             isolation_ends_at: 0,
+            quarantines_end_at: 0,
             took_over_at: 0,
             recovery_ends_at: 0,
             ownership_confirmed_at: 0,
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -46,7 +46,12 @@
             self.withdraw_claims(&ready);
         }
         self.claims.apply(now, &mut view);
+        let beside_quarantines = match scope {
+            PlacementScope::All => self.steps_beside_quarantines(now, &ready),
+            PlacementScope::Urgent | PlacementScope::Fresh => Vec::new(),
+        };
         self.place_steps(now, ready, scope, &mut view);
+        self.shorten_quarantines(now, &beside_quarantines, &mut view);
         self.view_cache.store(view);
     }
 
--- a/crates/fleet/src/owner/upstream_entry.rs
+++ b/crates/fleet/src/owner/upstream_entry.rs
@@ -8,6 +8,7 @@
 use crate::owner::due_queue::DueQueue;
 use crate::owner::fleet_view::UpstreamIndex;
 use crate::owner::incarnation_check::IncarnationDoubt;
+use crate::owner::quarantine::FIRST_QUARANTINE_MS;
 use crate::owner::{LeaseTerm, StartOrder, StopReason};
 
 /// Factor from a duration on an upstream's clock to the longest possible duration on the owner's
@@ -251,6 +252,8 @@
     /// Smoothed ratio of actual to estimated run time; drifts towards the fleet's mean with each
     /// report, so that an upstream that gets no runs is not considered slow forever; 0 initially.
     pub slowdown: f64,
+    /// Time of the last quarantine.
+    pub quarantined_at: u64,
     /// Time until which nothing is placed on the upstream after failed or stalled runs.
     pub quarantined_until: u64,
     /// Number of quarantines since the last run that showed the upstream to be sound.
@@ -306,6 +309,7 @@
             isolated_until: 0,
             failed_submissions: Vec::new(),
             slowdown: 0.0,
+            quarantined_at: 0,
             quarantined_until: 0,
             quarantine_count: 0,
             backoff_until: 0,
@@ -385,6 +389,11 @@
         })
     }
 
+    /// Returns whether a quarantine has lasted as long as a first one and may end early.
+    pub fn may_shorten_quarantine(&self, now: u64) -> bool {
+        now < self.quarantined_until && now >= self.quarantined_at + FIRST_QUARANTINE_MS
+    }
+
     /// Records that a run shows the upstream to be sound.
     pub fn end_probation(&mut self) {
         self.failed_submissions.clear();
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -199,6 +199,33 @@
     assert_eq!(late, Vec::new(), "(history, longest wait in milliseconds)");
 }
 
+/// Guards against work that waits until the end of the longest quarantines in an idle pool whose
+/// upstreams are all sound again.
+#[test]
+fn work_does_not_wait_for_the_long_quarantines_of_an_idle_pool() {
+    let mut simulation = fleet();
+    simulation.run_ms = Some(400);
+    simulation.failing_upstreams = simulation.upstreams.keys().cloned().collect();
+    let mut number = 0;
+    while simulation
+        .quarantines
+        .iter()
+        .filter(|report| report.duration_ms > 6000)
+        .count()
+        < 6
+    {
+        simulation.submit(&submission(&format!("s{number}"), &batch(), vec![step(1)]));
+        simulation.run_until(simulation.now + 100);
+        number += 1;
+    }
+    simulation.failing_upstreams.clear();
+
+    simulation.submit(&submission("late", &batch(), vec![step(1)]));
+    simulation.run_until(simulation.now + START_LIMIT_MS);
+
+    assert_ne!(simulation.state_of("late"), Some(SubmissionState::Queued));
+}
+
 /// Guards against a task that is given up because it fails again and again: a long-running task must
 /// run again within 9 s of its last run.
 #[test]
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -549,6 +549,7 @@
             OwnerEffect::ReportRestore(report) => self.restores.push(report),
             OwnerEffect::ReportIncarnation(_)
             | OwnerEffect::ReportRetryDelay(_)
+            | OwnerEffect::ReportShortenedQuarantine(_)
             | OwnerEffect::ReportUnlisted(_)
             | OwnerEffect::StepDown => {}
         }
--- a/crates/host/src/control/effect_runner.rs
+++ b/crates/host/src/control/effect_runner.rs
@@ -8,7 +8,7 @@
     AdviceLoad, CommitBatch, CommitOutcome, CrashReport, HeldRuns, HeldRunsRelease,
     IncarnationReport, MissingFinishedRuns, OwnerEffect, PolicyDecision, QuarantineReport,
     QueryOrder, QueryOutcome, RecoveryBound, RenewOrder, RestartReport, RetryDelayReport,
-    StartOrder, StopOrder, UnlistedReport,
+    ShortenedQuarantine, StartOrder, StopOrder, UnlistedReport,
 };
 use serde_json::json;
 
@@ -92,6 +92,9 @@
                 self.report_missing_finished(epoch, &missing);
             }
             OwnerEffect::ReportQuarantine(report) => self.report_quarantine(epoch, &report),
+            OwnerEffect::ReportShortenedQuarantine(report) => {
+                report_shortened_quarantine(epoch, &report);
+            }
             OwnerEffect::ReportRetryDelay(report) => self.report_retry_delay(epoch, &report),
             OwnerEffect::ReportDeferral(report) => report_deferral(epoch, &report),
             OwnerEffect::ReportRestore(report) => report_restore(epoch, &report),
@@ -443,6 +446,15 @@
     }));
 }
 
+fn report_shortened_quarantine(epoch: u64, report: &ShortenedQuarantine) {
+    FleetEvent::QuarantineShortened.emit(json!({
+        "epoch": epoch,
+        "upstream": report.upstream,
+        "lasted_ms": report.lasted_ms,
+        "shortened_by_ms": report.shortened_by_ms,
+    }));
+}
+
 fn report_unlisted(report: &UnlistedReport) {
     FleetEvent::DrainingUpstreamUnlisted.emit(json!({
         "upstream": report.upstream,
--- a/crates/host/src/event/fleet_event.rs
+++ b/crates/host/src/event/fleet_event.rs
@@ -164,6 +164,9 @@
     UpstreamQuarantined = 1074, Warn;
     /// A long-running task that keeps failing is not started again for a while.
     RetryDelayed = 1077, Info;
+    /// A quarantine ended early, because a step found no room in a pool that is mostly quarantined
+    /// and mostly idle.
+    QuarantineShortened = 1078, Info;
     /// The memory for requests is exhausted: requests are refused or closed.
     RequestMemoryFull = 1080, Warn;
     /// A client's connection was closed early.
--- a/crates/model/src/fleet_simulation.rs
+++ b/crates/model/src/fleet_simulation.rs
@@ -386,6 +386,7 @@
                 | OwnerEffect::ReportRestart(_)
                 | OwnerEffect::ReportRestore(_)
                 | OwnerEffect::ReportRetryDelay(_)
+                | OwnerEffect::ReportShortenedQuarantine(_)
                 | OwnerEffect::ReportUnlisted(_)
                 | OwnerEffect::StepDown => {}
             }
