Delay retries of failing long-running tasks by 2 s at most

Cause: with delays of up to 4 s, a submission whose only task keeps failing has nothing running for over 4 s at a time. Change: the delay is doubled three times, up to 2 s. Result: the test of such a submission, now with the limit of 3 s, fails with the earlier delays and passes with these.

--- a/crates/fleet/src/owner/failure_streak.rs
+++ b/crates/fleet/src/owner/failure_streak.rs
@@ -24,9 +24,9 @@
 /// First of the longer delays, in milliseconds; doubles with each further failed run.
 const FIRST_BACKOFF_MS: u64 = 250;
 
-/// Maximum number of times that the delay is doubled, up to 4 s. A long-running task must run again
-/// 9 s after its last run; the rest of that time is for room to be found or made for it.
-const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// Maximum number of times that the delay is doubled, up to 2 s. A submission may have nothing
+/// running for 3 s; the rest of that time is for the end to be seen and for the start.
+const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
 /// Failed and stalled runs of a task since its last sound run.
 #[derive(Clone, Debug, Default)]
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -226,11 +226,10 @@
     assert_ne!(simulation.state_of("late"), Some(SubmissionState::Queued));
 }
 
-/// Guards against a task that is given up because it fails again and again: a long-running task must
-/// run again within 9 s of its last run.
+/// Guards against a submission that has nothing running for too long, because the retries of its only
+/// task are delayed.
 #[test]
 fn long_running_task_that_keeps_failing_is_retried_for_good() {
-    const RESTART_LIMIT_MS: u64 = 9000;
     let mut simulation = fleet();
     submit_failing(&mut simulation, "failing", 1);
     let end = simulation.now + 60_000;
@@ -242,7 +241,7 @@
             absent_since = simulation.now;
         }
 
-        assert!(simulation.now - absent_since < RESTART_LIMIT_MS);
+        assert!(simulation.now - absent_since < START_LIMIT_MS);
     }
 }
 
