Count only upstreams that may run a step as room for it

Cause: a quarantine did not end early for a step whose label, tickets or isolation exclude the upstreams that have room, since these counted as room for it; seen by reading. Change: the check uses the placement request's own list of startable tasks and possible upstreams.

--- a/crates/fleet/src/owner/quarantine.rs
+++ b/crates/fleet/src/owner/quarantine.rs
@@ -10,7 +10,6 @@
 use crate::model::ResourceSize;
 use crate::owner::fleet_view::FleetView;
 use crate::owner::ready_list::ReadyStep;
-use crate::owner::submission_entry::{TaskEntry, TaskPhase};
 use crate::owner::{
     OwnerEffect, OwnerMachine, QuarantineReason, QuarantineReport, ShortenedQuarantine,
 };
@@ -171,17 +170,15 @@
         let Some(step) = self.step_of(ready) else {
             return false;
         };
-        let may_start = |task: &TaskEntry| {
-            task.phase == TaskPhase::Waiting
-                && task.allocated_runs == 0
-                && now >= task.not_before
-                && task.failure_streak.upstreams().is_empty()
-        };
         let Some(request) = self.placement_request(now, ready) else {
             return false;
         };
+        let has_failed = |index: &u32| {
+            let task = &step.tasks[*index as usize];
+            !task.failure_streak.upstreams().is_empty()
+        };
         let headroom = self.cached_team_headroom(ready.team.as_ref(), view);
-        if !step.tasks.iter().any(may_start) || !request.minimum_demand().fits(&headroom) {
+        if request.startable.iter().all(has_failed) || !request.minimum_demand().fits(&headroom) {
             return false;
         }
         let needed = if request.spec().gang {
@@ -192,7 +189,7 @@
         let pool = view.pools.get(&ready.queue.pool);
         let upstreams = pool.into_iter().flat_map(|pool| &pool.upstreams);
         let slots = upstreams
-            .filter(|upstream| request.has_label(upstream))
+            .filter(|upstream| request.could_run(upstream, step))
             .map(|upstream| upstream.unreserved().slots_for(&ready.allocation))
             .fold(0, u64::saturating_add);
         slots < needed
