Test work beside random submissions that fail everywhere

Cause: the tests of failing tasks have fixed sizes and a store that always takes 4 ms, which hid that failing tasks keep capacity allocated while a commit lasts. Change: random pools, failing submissions and durations of commits; the work may have nothing running for 3 s while there is room for two of its tasks and under half of the CPU is in use.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod departures;
 mod exclusions;
+mod failing_histories;
 mod failing_tasks;
 mod fixtures;
 mod former_incarnations;
