--- a/crates/fleet/tests/fleet/failing_histories.rs
+++ b/crates/fleet/tests/fleet/failing_histories.rs
@@ -43,6 +43,7 @@
     /// until the work is submitted.
     fn new(seed: u64) -> Self {
         let mut random = RandomSource(seed);
+        // The first number is nearly the same for all small seeds.
         random.below(1);
         let (watch, batch) = (queue("watch", 1), queue("ledger", 2));
         let approved = config(vec![watch.clone(), batch.clone()], ResourceSize::ZERO);
