Place long-running tasks that keep failing after all others

Cause: a delayed retry that is due still comes before work of a lower priority. With up to 24 such tasks on 3 to 8 upstreams, and commits of 0.3 s, retries are allocated to the whole pool at any time.

Change: for 5 s after a failure, a task whose retries are delayed is placed at the end of a full pass, and only with free capacity: nothing is stopped or reserved for it. After that it counts as before, so that it runs again within 9 s, however full its pool is. Sound tasks of the same step are not affected, nor are gangs.

--- a/crates/fleet/src/owner/failure_streak.rs
+++ b/crates/fleet/src/owner/failure_streak.rs
@@ -6,7 +6,8 @@
 //!
 //! Nothing limits the failures of a long-running task. One that fails wherever it runs would occupy
 //! capacity again as soon as a run has ended, ahead of waiting work of a lower priority. So its
-//! retries are delayed, each for longer.
+//! retries are delayed, each for longer, and for some seconds they only get room that no other task
+//! can use.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -28,6 +29,11 @@
 /// running for 3 s; the rest of that time is for the end to be seen and for the start.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
+/// Time after a failed run for which a task whose retries are delayed is placed after all others, in
+/// milliseconds. A long-running task must run again within 9 s, however full its pool is; the rest of
+/// that time is for room to be made for it.
+pub(super) const YIELD_MS: u64 = 5000;
+
 /// Failed and stalled runs of a task since its last sound run.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FailureStreak {
--- a/crates/fleet/src/owner/finished_runs.rs
+++ b/crates/fleet/src/owner/finished_runs.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::model::{FinishedRun, RunOutcome, SubmissionState, TaskName};
+use crate::owner::failure_streak::YIELD_MS;
 use crate::owner::submission_entry::{OccurrenceEntry, TaskPhase};
 use crate::owner::{OwnerEffect, OwnerMachine, RetryDelayReport, StopReason};
 
@@ -256,7 +257,8 @@
         }
     }
 
-    /// Delays the next run of a long-running task that has failed several times in a row.
+    /// Delays the next run of a long-running task that has failed several times in a row, and lets
+    /// other tasks go first.
     fn back_off(&mut self, now: u64, name: &TaskName) {
         let Some(task) = self.task_mut(name) else {
             return;
@@ -265,6 +267,7 @@
             return;
         };
         task.not_before = now + delay_ms;
+        task.yields_until = now + YIELD_MS;
         let report = RetryDelayReport {
             task: name.clone(),
             failures: task.failure_streak.failures(),
--- a/crates/fleet/src/owner/fleet_view.rs
+++ b/crates/fleet/src/owner/fleet_view.rs
@@ -12,6 +12,7 @@
 use crate::model::ResourceSize;
 use crate::owner::OwnerMachine;
 use crate::owner::deferred_queries::DeferredQueries;
+use crate::owner::ready_list::ReadyStep;
 
 /// Index of an upstream in this owner; never reused for another upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -109,6 +110,15 @@
     }
 }
 
+/// Part of a placement pass, by the tasks that it places.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PassPart {
+    /// All but those that keep failing.
+    Regular,
+    /// Long-running tasks that keep failing; only free capacity is used for them.
+    Yielding,
+}
+
 /// Snapshot of the fleet for one placement pass.
 #[derive(Debug)]
 pub(super) struct FleetView {
@@ -121,6 +131,9 @@
     reserved_headrooms: HashMap<Arc<str>, ResourceSize>,
     /// Number of victim searches that the pass may still make.
     pub preemption_searches_left: u32,
+    pub part: PassPart,
+    /// Steps with tasks that keep failing, which are placed at the end of a full pass.
+    pub yielding_steps: Vec<ReadyStep>,
     /// Queries that are sent at the end of the pass if hosts are free.
     pub deferred_queries: DeferredQueries,
     /// When the forecasts of the pools were last discarded.
@@ -146,6 +159,7 @@
         self.team_headrooms.clear();
         self.reserved_headrooms.clear();
         self.deferred_queries.clear();
+        self.yielding_steps.clear();
         self.preemption_searches_left = super::preemption::MAX_PREEMPTION_SEARCHES;
         let forecasts_expired = now >= self.forecasts_since + MAX_FORECAST_AGE_MS;
         if forecasts_expired {
@@ -265,6 +279,8 @@
             team_headrooms: HashMap::new(),
             reserved_headrooms: HashMap::new(),
             preemption_searches_left: super::preemption::MAX_PREEMPTION_SEARCHES,
+            part: PassPart::Regular,
+            yielding_steps: Vec::new(),
             deferred_queries: DeferredQueries::default(),
             forecasts_since: now,
         };
--- a/crates/fleet/src/owner/placement.rs
+++ b/crates/fleet/src/owner/placement.rs
@@ -10,7 +10,7 @@
 use crate::model::{ResourceSize, StepSpec, SubmissionRecord};
 use crate::owner::OwnerMachine;
 use crate::owner::crash_suspects::SuspectPhase;
-use crate::owner::fleet_view::{FleetView, PoolView, UpstreamIndex, UpstreamView};
+use crate::owner::fleet_view::{FleetView, PassPart, PoolView, UpstreamIndex, UpstreamView};
 use crate::owner::ready_list::ReadyStep;
 use crate::owner::submission_entry::{StepEntry, TaskPhase};
 
@@ -28,6 +28,8 @@
     pub waiting_since: u64,
     /// Number of the step's tasks on each upstream; counted only if the step limits it.
     placed_counts: HashMap<Arc<str>, u32>,
+    /// Whether tasks of the step that keep failing are left to the end of the pass.
+    pub has_yielding: bool,
     pub needs_ticket: bool,
     /// Attempt number shared by the members of a gang.
     pub gang_attempt: Option<u32>,
@@ -195,11 +197,13 @@
             .get_mut(step as usize)
     }
 
-    /// Collects the tasks of a step that may start now; for a gang, all or none.
+    /// Collects the tasks of a step that may start now and are placed in this part of the pass; for a
+    /// gang, all or none.
     pub(super) fn placement_request(
         &self,
         now: u64,
         ready: &ReadyStep,
+        part: PassPart,
     ) -> Option<PlacementRequest> {
         let entry = self.submissions.get(&ready.submission)?;
         let step = self.step_of(ready)?;
@@ -210,6 +214,7 @@
             avoided_upstreams: HashMap::new(),
             waiting_since: now,
             placed_counts: HashMap::new(),
+            has_yielding: false,
             needs_ticket: ready.queue.policy_service.is_some(),
             gang_attempt: None,
             isolation: Isolation::None,
@@ -235,6 +240,11 @@
             {
                 continue;
             }
+            let yields = now < task.yields_until && !request.spec().gang;
+            if yields != (part == PassPart::Yielding) {
+                request.has_yielding |= yields;
+                continue;
+            }
             if isolates && task.is_suspect() {
                 request.isolation = Isolation::Strict;
             }
--- a/crates/fleet/src/owner/quarantine.rs
+++ b/crates/fleet/src/owner/quarantine.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use crate::model::ResourceSize;
-use crate::owner::fleet_view::FleetView;
+use crate::owner::fleet_view::{FleetView, PassPart};
 use crate::owner::ready_list::ReadyStep;
 use crate::owner::{
     OwnerEffect, OwnerMachine, QuarantineReason, QuarantineReport, ShortenedQuarantine,
@@ -170,7 +170,7 @@
         let Some(step) = self.step_of(ready) else {
             return false;
         };
-        let Some(request) = self.placement_request(now, ready) else {
+        let Some(request) = self.placement_request(now, ready, PassPart::Regular) else {
             return false;
         };
         let has_failed = |index: &u32| {
--- a/crates/fleet/src/owner/schedule.rs
+++ b/crates/fleet/src/owner/schedule.rs
@@ -10,7 +10,7 @@
 //! (`planned_start.rs`).
 
 use crate::owner::OwnerMachine;
-use crate::owner::fleet_view::FleetView;
+use crate::owner::fleet_view::{FleetView, PassPart};
 use crate::owner::placement::{Isolation, PlacementRequest};
 use crate::owner::placement_schedule::PlacementScope;
 use crate::owner::query_dispatcher::FreeHosts;
@@ -51,10 +51,22 @@
             PlacementScope::Urgent | PlacementScope::Fresh => Vec::new(),
         };
         self.place_steps(now, ready, scope, &mut view);
+        if scope == PlacementScope::All {
+            self.place_yielding_steps(now, &mut view);
+        }
         self.shorten_quarantines(now, &beside_quarantines, &mut view);
         self.view_cache.store(view);
     }
 
+    /// Places the tasks that keep failing, with the capacity that is left.
+    fn place_yielding_steps(&mut self, now: u64, view: &mut FleetView) {
+        view.part = PassPart::Yielding;
+        for step in std::mem::take(&mut view.yielding_steps) {
+            self.place_step(now, &step, view);
+        }
+        view.part = PassPart::Regular;
+    }
+
     /// Places the tasks of one step; queries the policy service or preempts other runs if some do
     /// not fit.
     pub(super) fn place_step(&mut self, now: u64, ready: &ReadyStep, view: &mut FleetView) {
@@ -63,10 +75,13 @@
         {
             return;
         }
-        let Some(mut request) = self.placement_request(now, ready) else {
+        let Some(mut request) = self.placement_request(now, ready, view.part) else {
             self.ready.mark_changed(&ready.submission);
             return;
         };
+        if request.has_yielding && view.part == PassPart::Regular {
+            view.yielding_steps.push(ready.clone());
+        }
         request.limit_tasks(self.max_tasks_at_once(ready));
         let claim = if request.spec().gang {
             self.claims.take(&StepKey::from(ready))
@@ -106,6 +121,12 @@
         if unplaced == 0 {
             return;
         }
+        if view.part == PassPart::Yielding {
+            if request.needs_ticket {
+                self.query_for_step(now, ready, &request, unplaced, view);
+            }
+            return;
+        }
         self.placement.has_urgent_backlog |= ready.priority == 0
             && ready.deadline_status(now) == DeadlineStatus::OnTime
             && ready.has_tickets(now)
--- a/crates/fleet/src/owner/submission_entry.rs
+++ b/crates/fleet/src/owner/submission_entry.rs
@@ -43,6 +43,8 @@
     pub failure_streak: FailureStreak,
     /// Earliest time of the next start.
     pub not_before: u64,
+    /// Time until which other tasks are placed before it, because it keeps failing.
+    pub yields_until: u64,
 }
 
 /// A ticket that the policy service issued for one upstream.
--- a/crates/fleet/tests/fleet/failing_histories.rs
+++ b/crates/fleet/tests/fleet/failing_histories.rs
@@ -11,6 +11,9 @@
 /// another.
 const HISTORY_COUNT: u64 = 100;
 
+/// Further seeds whose histories once left the work waiting.
+const RECORDED_SEEDS: [u64; 4] = [192, 579, 587, 2317];
+
 /// CPU of an upstream, in thousandths of a core.
 const UPSTREAM_CPU: u64 = 32_000;
 
@@ -130,7 +133,7 @@
     let drawn = std::env::var("FAILING_HISTORIES");
     let count = drawn.map_or(HISTORY_COUNT, |count| count.parse().expect("a number"));
     let mut idle = Vec::new();
-    for seed in 0..count {
+    for seed in (0..count).chain(RECORDED_SEEDS) {
         let idle_ms = FailingHistory::new(seed).longest_idle_ms();
         if idle_ms > IDLE_LIMIT_MS {
             idle.push((seed, idle_ms));
--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -245,6 +245,35 @@
     }
 }
 
+/// Guards against a long-running task that keeps failing and is not started again while other work
+/// fills the pool: it must run again within 9 s, however full the pool is.
+#[test]
+fn long_running_task_that_keeps_failing_is_retried_in_a_full_pool() {
+    const RESTART_LIMIT_MS: u64 = 9000;
+    let mut simulation = fleet();
+    simulation.run_ms = Some(100_000);
+    submit_failing(&mut simulation, "failing", 1);
+    simulation.run_until(simulation.now + FINISH_MS);
+    for number in 0..4 {
+        let id = format!("s{number}");
+        simulation.submit(&submission(&id, &batch(), vec![step(24)]));
+    }
+    let end = simulation.now + 40_000;
+    let mut absent_since = simulation.now;
+    while simulation.now < end {
+        simulation.run_until(simulation.now + 10);
+        let mut runs = simulation
+            .upstreams
+            .values()
+            .flat_map(|upstream| &upstream.runs);
+        if runs.any(|(name, _)| &*name.submission == "failing") {
+            absent_since = simulation.now;
+        }
+
+        assert!(simulation.now - absent_since < RESTART_LIMIT_MS);
+    }
+}
+
 /// Guards against a sound task that is kept waiting because the first two upstreams that it met
 /// were broken.
 #[test]
