--- a/crates/fleet/tests/fleet/failing_tasks.rs
+++ b/crates/fleet/tests/fleet/failing_tasks.rs
@@ -1,5 +1,7 @@
 //! Tests of whether failed and stalled runs are attributed to the task or to the upstream.
 
+use std::ops::Range;
+
 use lagoonnotch_fleet::model::{
     ProgressRecord, QueuePolicy, ResourceSize, StepSpec, SubmissionState,
 };
@@ -157,46 +159,46 @@
     assert_eq!(simulation.state_of("s1"), Some(SubmissionState::Running));
 }
 
+/// Plays histories with a fleet of six large upstreams and the failing submissions of `submit`.
+/// Returns those in which nothing of a chain of tasks that need most of an upstream ran for too long,
+/// and for how long, in milliseconds.
+fn late_chains(
+    histories: Range<u64>,
+    submit: impl Fn(u64, &mut FleetSimulation),
+) -> Vec<(u64, u64)> {
+    let waits = histories.map(|history| {
+        let mut simulation = fleet_of_large_upstreams(history, 6);
+        submit(history, &mut simulation);
+        simulation.run_until(simulation.now + FINISH_MS);
+        (history, longest_wait_of_chain(&mut simulation, 24_000))
+    });
+    waits
+        .filter(|(_, wait_ms)| *wait_ms > START_LIMIT_MS)
+        .collect()
+}
+
 /// Guards against long-running tasks that fail at once, start again at once, and so keep most of the
 /// capacity allocated although they hardly use it. How much of the time they do depends on how long
 /// the store takes for a commit, before which no run starts.
 #[test]
 fn tasks_that_fail_everywhere_leave_whole_upstreams_to_a_chain() {
-    let mut late = Vec::new();
-    for history in 0..100 {
-        let mut simulation = fleet_of_large_upstreams(history, 6);
+    let late = late_chains(0..100, |history, simulation| {
         simulation.commit_ms = 300 + history;
-        submit_large_failing(&mut simulation, 2, 5, 12_000);
-        simulation.run_until(simulation.now + FINISH_MS);
+        submit_large_failing(simulation, 2, 5, 12_000);
+    });
 
-        let wait_ms = longest_wait_of_chain(&mut simulation, 24_000);
-
-        if wait_ms > START_LIMIT_MS {
-            late.push((history, wait_ms));
-        }
-    }
-
-    assert_eq!(late, Vec::new(), "(history, longest wait in milliseconds)");
+    assert_eq!(late, Vec::new());
 }
 
 /// Guards against upstreams that are all quarantined at once, again and for longer, because each of
 /// the many tasks of a step that fails everywhere counts against some of them.
 #[test]
 fn wide_steps_that_fail_everywhere_quarantine_upstreams_once_each() {
-    let mut late = Vec::new();
-    for history in 0..20 {
-        let mut simulation = fleet_of_large_upstreams(history, 6);
-        submit_large_failing(&mut simulation, 2, 12, 24_000);
-        simulation.run_until(simulation.now + FINISH_MS);
-
-        let wait_ms = longest_wait_of_chain(&mut simulation, 24_000);
-
-        if wait_ms > START_LIMIT_MS {
-            late.push((history, wait_ms));
-        }
-    }
+    let late = late_chains(0..20, |_, simulation| {
+        submit_large_failing(simulation, 2, 12, 24_000);
+    });
 
-    assert_eq!(late, Vec::new(), "(history, longest wait in milliseconds)");
+    assert_eq!(late, Vec::new());
 }
 
 /// Guards against work that waits until the end of the longest quarantines in an idle pool whose
