--- /dev/null
+++ b/review/standin-3/src/cases/mod.rs
@@ -0,0 +1,7 @@
+//! The cases.
+
+pub mod cancel;
+pub mod gang;
+pub mod ids;
+pub mod late;
+pub mod log;
