--- a/review/standin-3/src/cases/gang.rs
+++ b/review/standin-3/src/cases/gang.rs
@@ -76,7 +76,7 @@
             let limit = Duration::from_millis(300);
             let is_ready = timeout(limit, is_ready(&host.readiness)).await == Ok(true);
             hosts += &format!(
-                " [{} {} MB {} fds {} ticks]",
+                " [{} {} MiB {} fds {} ticks]",
                 if is_ready { "ready" } else { "SILENT" },
                 host.memory_mb().unwrap_or(0),
                 host.descriptors(),
--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+pub mod backlog;
 pub mod cancel;
 pub mod gang;
 pub mod ids;
--- a/review/standin-3/src/cell.rs
+++ b/review/standin-3/src/cell.rs
@@ -268,13 +268,13 @@
         matches!(state.child.as_mut().map(Child::try_wait), Some(Ok(None)))
     }
 
-    /// Returns the resident memory of the process, in megabytes.
+    /// Returns the anonymous resident memory of the process, in MiB.
     pub fn memory_mb(&self) -> Option<u64> {
         let pid = self.lock().child.as_ref()?.id();
         let text = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let line = text.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let line = text.lines().find(|line| line.starts_with("RssAnon:"))?;
         let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kilobytes * 1024 / 1_000_000)
+        Some(kilobytes / 1024)
     }
 
     /// Returns the number of descriptors that the process has open.
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -74,6 +74,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     match case.as_str() {
         "log" => cases::log::run(spec, record, has_trouble).await,
+        "backlog" => cases::backlog::run(spec, record, has_trouble).await,
         "ids" => cases::ids::run(spec, record, has_trouble).await,
         "cancel" => cases::cancel::run(spec, record, has_trouble).await,
         "late" => cases::late::run(spec, record, has_trouble).await,
