--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -6,3 +6,4 @@
 pub mod ids;
 pub mod late;
 pub mod log;
+pub mod wide;
--- a/review/standin-3/src/cell.rs
+++ b/review/standin-3/src/cell.rs
@@ -44,6 +44,8 @@
     pub log: LogTarget,
     /// Whether the workers know gangs.
     pub knows_gangs: bool,
+    /// Appended to the identifiers of workers.
+    pub id_suffix: &'static str,
 }
 
 pub struct Cell {
@@ -82,7 +84,7 @@
         }
         let of_soak = if spec.knows_gangs { 0 } else { spec.workers };
         for number in 0..of_soak {
-            let id = format!("i-{:08x}", 0x7f3a_9100_u32 + number * 7);
+            let id = format!("i-{:08x}{}", 0x7f3a_9100_u32 + number * 7, spec.id_suffix);
             let uptime_ms = 300_000 + 1000 * u64::from(number);
             let model = UpstreamModel::new(&id, uptime_ms, HOLD_MAX_MS, 1000, &log);
             let upstream = UpstreamSpec {
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -69,6 +69,7 @@
         worker_cpu: 32_000,
         log: LogTarget::File,
         knows_gangs: false,
+        id_suffix: "",
     };
     let record = Record::create(record.as_ref())?;
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -78,6 +79,7 @@
         "ids" => cases::ids::run(spec, record, has_trouble).await,
         "cancel" => cases::cancel::run(spec, record, has_trouble).await,
         "late" => cases::late::run(spec, record, has_trouble).await,
+        "wide" => cases::wide::run(spec, record, has_trouble).await,
         "gang" => cases::gang::run(spec, record, has_trouble).await,
         _ => bail!("no case {case}"),
     }
