--- a/review/standin-3/src/cases/backlog.rs
+++ b/review/standin-3/src/cases/backlog.rs
@@ -16,9 +16,17 @@
 use crate::record::Record;
 
 const ANSWER: Duration = Duration::from_secs(3);
-const TRAFFIC_S: u32 = 55;
-const RATE: u32 = 110;
-const CALM_RATE: u32 = 2;
+const TRAFFIC_S: u32 = 68;
+
+/// Submissions a second that the tenant usually sends: its `weight`.
+const USUAL_RATE: u32 = 15;
+
+/// Submissions a second while it sends 7.5 times its usual.
+const HOT_RATE: u32 = 112;
+
+/// How long it does so each time, and how often that comes, in milliseconds.
+const HOT_MS: u64 = 6500;
+const HOT_PERIOD_MS: u64 = 8500;
 
 /// Ordinary submissions of the other tenant a second.
 const OTHER_RATE: u32 = 2;
@@ -45,17 +53,17 @@
         "spec": "run_ms=300 cpu=500",
         "phases": [{"count": 2, "cpu": 500, "mem_mb": 64, "est_runtime_ms": 300}],
     });
-    let rate = if has_trouble { RATE } else { CALM_RATE };
+    let hot_rate = if has_trouble { HOT_RATE } else { USUAL_RATE };
     let of_team = tokio::spawn(send_traffic(
         fronts.clone(),
         (CALLER_TEAM_KEY, "/batch/aa", big.to_string()),
-        rate,
+        (USUAL_RATE, hot_rate),
         began,
     ));
     let of_other = tokio::spawn(send_traffic(
         fronts.clone(),
         (OTHER_KEY, "/check/bb", small.to_string()),
-        OTHER_RATE,
+        (OTHER_RATE, OTHER_RATE),
         began,
     ));
     let platform = Platform::start(&cell, &record);
@@ -164,16 +172,22 @@
 }
 
 /// Sends submissions with a key; returns the paths of those that were accepted, and how many were
-/// not.
+/// not. The second rate holds for the first `HOT_MS` of each `HOT_PERIOD_MS`.
 async fn send_traffic(
     fronts: Vec<String>,
     (key, prefix, body): (&'static str, &'static str, String),
-    rate: u32,
+    (usual_rate, hot_rate): (u32, u32),
     began: Instant,
 ) -> (Vec<String>, std::collections::BTreeMap<String, u32>) {
     let mut sent = Vec::new();
-    for number in 0..rate * TRAFFIC_S {
-        sleep_until(began + Duration::from_secs(1) * number / rate).await;
+    let mut at_us = 0_u64;
+    let mut number = 0_u32;
+    while at_us < u64::from(TRAFFIC_S) * 1_000_000 {
+        sleep_until(began + Duration::from_micros(at_us)).await;
+        let is_hot = at_us / 1000 % HOT_PERIOD_MS < HOT_MS;
+        let rate = if is_hot { hot_rate } else { usual_rate };
+        at_us += 1_000_000 / u64::from(rate);
+        number += 1;
         let path = format!("{prefix}{number:014x}");
         let front = fronts[number as usize % fronts.len()].clone();
         let body = body.clone();
